--- /dev/null
+++ b/cmake/testing.cmake
@@ -0,0 +1,17 @@
+# Test programs: one for each package, built from its tests/*_test.cpp.
+find_package(Catch2 2 REQUIRED)
+include(Catch)
+
+add_library(test_main STATIC ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
+target_link_libraries(test_main PUBLIC Catch2::Catch2 rapidcheck)
+
+function(add_package_tests package)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${package}_tests ${sources})
+  target_link_libraries(${package}_tests PRIVATE test_main ${ARGN})
+  catch_discover_tests(${package}_tests TEST_PREFIX "${package}."
+                       DISCOVERY_MODE PRE_TEST)
+endfunction()
