Add the leaf scheduler of owned services

Entries and homes send work for services that no code scheduled. The owner now queues parts and orders by rank and deadline, keeps the slot limits of the leafs, hedges and retries from one budget, ejects stragglers, follows drain signs and records order attempts before they are sent.

--- /dev/null
+++ b/packages/core/hedge_budget.cpp
@@ -0,0 +1,44 @@
+/** @file hedge_budget.cpp Token budget shared by hedges and retries. */
+
+#include "core/hedge_budget.h"
+
+#include <algorithm>
+
+namespace corianderrail {
+
+namespace {
+
+/**
+ * Tokens kept at most. A leaf that dies loses up to 6 requests at once, and
+ * each needs one retry.
+ */
+constexpr double kBurst = 10.0;
+
+/** Tokens at the start, before any request earned one. */
+constexpr double kInitialTokens = 2.0;
+
+constexpr double kPpm = 1e6;
+
+}  // namespace
+
+hedge_budget::hedge_budget(ppm extra_load)
+    : earned_(extra_load / kPpm),
+      tokens_(extra_load == 0 ? 0.0 : kInitialTokens) {}
+
+void hedge_budget::OnRequest() {
+  tokens_ = std::min(kBurst, tokens_ + earned_);
+}
+
+bool hedge_budget::TakeForFault() {
+  if (!Available()) return false;
+  tokens_ -= 1.0;
+  return true;
+}
+
+bool hedge_budget::TakeForTail() {
+  if (tokens_ < kBurst / 2 + 1.0) return false;
+  tokens_ -= 1.0;
+  return true;
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/hedge_budget.h
@@ -0,0 +1,38 @@
+/** @file hedge_budget.h Token budget shared by hedges and retries. */
+
+#pragma once
+
+#include "core/contract_type.h"
+
+namespace corianderrail {
+
+/** Earns a fixed part of a token per first request; extra requests cost one. */
+class hedge_budget {
+ public:
+  explicit hedge_budget(ppm extra_load);
+
+  /** Counts one first request. */
+  void OnRequest();
+
+  /**
+   * Takes a token for a request that is already known to be in trouble: a
+   * retry, a hedge of an outlier or a probe.
+   */
+  bool TakeForFault();
+
+  /**
+   * Takes a token for a hedge in the ordinary tail. It leaves half of the
+   * burst untouched; the ordinary tail alone would otherwise use up the
+   * budget, with nothing left when a replica fails.
+   */
+  bool TakeForTail();
+
+  /** True when TakeForFault() would succeed. */
+  bool Available() const { return tokens_ >= 1.0; }
+
+ private:
+  double earned_;  ///< Tokens per first request.
+  double tokens_;  ///< Tokens left.
+};
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/leaf_dispatch.cpp
@@ -0,0 +1,330 @@
+/** @file leaf_dispatch.cpp Moves work from the rank queues to the leafs. */
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "core/owner_state.h"
+
+namespace corianderrail {
+
+namespace {
+
+/** Time over which the busy share of a rank is averaged, in microseconds. */
+constexpr double kBusyWindow = 500'000;
+
+/** Queued entries looked at per rank when the first cannot be placed because
+ *  its own replicas are busy. */
+constexpr std::size_t kScan = 8;
+
+/** Time in which a leaf frees the slot of a cancelled request. It covers a
+ *  round trip between regions. */
+constexpr duration kCancelGrace = std::chrono::milliseconds(30);
+
+/** An ejected leaf returns without a probe this long after its probe was due,
+ *  because the budget may never hold a token for it. */
+constexpr duration kProbeOverdue = std::chrono::seconds(5);
+
+/** Connections to the leafs of a service that this host does not own are kept
+ *  this long after its last work. */
+constexpr duration kIdleConnections = std::chrono::seconds(5);
+
+/** Time kept for the way back to the entry. */
+constexpr duration kReplyMargin = std::chrono::milliseconds(1);
+
+/** Latest moment at which a task may still be sent. */
+time_point SendBy(const task_record& task, time_point now) {
+  const latency_digest& digest = task.service->digest;
+  const duration whole = task.deadline - task.arrived;
+  duration need = kReplyMargin;
+  if (digest.Learned(now)) need += digest.Need();
+  // Work with a deadline below the learned latency is still sent during the
+  // first half of its time. Otherwise a service that was slow for a while
+  // would get no work and could not be seen to recover.
+  return task.deadline - std::min(need, whole / 2);
+}
+
+}  // namespace
+
+void service_state::ChargeBusy(rank urgency, double micros, time_point now) {
+  const double elapsed = static_cast<double>((now - busy_at).count());
+  const double fade = std::exp(-elapsed / kBusyWindow);
+  for (double& used : busy) used *= fade;
+  busy_at = now;
+  busy[RankIndex(urgency)] += micros;
+}
+
+double service_state::BusyShare(rank urgency, std::uint32_t slots,
+                                time_point now) const {
+  const double elapsed = static_cast<double>((now - busy_at).count());
+  const double fade = std::exp(-elapsed / kBusyWindow);
+  return busy[RankIndex(urgency)] * fade / kBusyWindow / slots;
+}
+
+bool service_owner::state::CannotFinish(const task_record& task,
+                                        time_point now) const {
+  return now >= SendBy(task, now);
+}
+
+void service_owner::state::Enqueue(slot_handle id, time_point now) {
+  (void)now;
+  task_record& task = *tasks.Find(id);
+  task.state = task_state::queued;
+  task.sequence = next_sequence++;
+  task.service->queue.Push(task.urgency, {task.deadline, task.sequence, id});
+  task.service->queue.AddLive(task.urgency);
+}
+
+void service_owner::state::LeaveQueue(task_record& task) {
+  if (task.state != task_state::queued) return;
+  task.service->queue.RemoveLive(task.urgency);
+  task.state = task_state::in_flight;
+}
+
+void service_owner::state::Dispatch(service_state& service, time_point now,
+                                    effect_list& effects) {
+  if (!service.owned && service.tasks > 0) {
+    for (leaf_health* leaf : service.leafs) {
+      if (leaf->target == 0) UpdateConnections(*leaf, effects);
+    }
+  }
+  while (service.queue.LiveTotal() > 0) {
+    bool sent = false;
+    for (const rank urgency : service.queue.Order(floors)) {
+      if (service.queue.Live(urgency) == 0) continue;
+      sent = DispatchRank(service, urgency, now, effects);
+      if (sent) break;
+    }
+    if (!sent) break;
+  }
+  ArmService(service, now);
+}
+
+bool service_owner::state::DispatchRank(service_state& service, rank urgency,
+                                        time_point now, effect_list& effects) {
+  bool sent = false;
+  deferred.clear();
+  while (!sent && deferred.size() < kScan) {
+    const queue_entry* front = service.queue.Front(urgency);
+    if (front == nullptr) break;
+    const queue_entry entry = *front;
+    const task_record* task = tasks.Find(entry.task);
+    const bool live = task != nullptr && task->state == task_state::queued &&
+                      task->sequence == entry.sequence;
+    if (!live) {
+      service.queue.Pop(urgency);
+      continue;
+    }
+    if (CannotFinish(*task, now)) {
+      service.queue.Pop(urgency);
+      Drop(entry.task, now, effects);
+      continue;
+    }
+    const leaf_choice choice = Choose(*task, now);
+    // With every slot of the service in use, no other entry fits either.
+    if (choice.verdict == placement::busy && !choice.any_free) break;
+    service.queue.Pop(urgency);
+    if (choice.verdict == placement::busy) {
+      deferred.push_back(entry);
+    } else if (choice.verdict == placement::placed) {
+      LeaveQueue(*tasks.Find(entry.task));
+      Send(entry.task, *choice.leaf,
+           task->repeated ? call_purpose::retry : call_purpose::first, now,
+           effects);
+      sent = true;
+    } else {
+      FinishUnplaced(entry.task, choice.verdict, now, effects);
+    }
+  }
+  for (const queue_entry& entry : deferred) service.queue.Push(urgency, entry);
+  return sent;
+}
+
+void service_owner::state::FinishUnplaced(slot_handle id, placement verdict,
+                                          time_point now,
+                                          effect_list& effects) {
+  const task_record& task = *tasks.Find(id);
+  if (task.order) {
+    FinishOrder(id, run_state::not_run, refusal_reason::upstream_refused, {},
+                now, effects);
+    return;
+  }
+  const part_status status =
+      verdict == placement::lacking ? part_status::wrong_snapshot : task.last;
+  FinishPart(id, status, {}, now, effects);
+}
+
+leaf_request service_owner::state::MakeRequest(const task_record& task,
+                                               time_point now) {
+  leaf_request request;
+  request.urgency = task.urgency;
+  request.remaining = task.deadline - now;
+  if (task.order) {
+    const order_attempt& body = task.order->body;
+    request.collection = body.collection;
+    request.range = {body.key, body.key + 1};
+    request.order = body.id;
+    request.payload = body.payload;
+    return request;
+  }
+  const batch_record& batch = *batches.Find(task.batch);
+  request.collection = batch.collection;
+  request.snapshot = batch.snapshot;
+  request.range = task.part->range;
+  request.payload = batch.payload;
+  return request;
+}
+
+void service_owner::state::Send(slot_handle id, leaf_health& leaf,
+                                call_purpose purpose, time_point now,
+                                effect_list& effects) {
+  task_record& task = *tasks.Find(id);
+  service_state& service = *task.service;
+  call_record call;
+  call.task = id;
+  call.service = &service;
+  call.leaf = &leaf;
+  call.sent = now;
+  call.purpose = purpose;
+  call.urgency = task.urgency;
+  const slot_handle handle = calls.Insert(call);
+  ++service.refs;
+  leaf.calls.push_back(handle);
+  *std::find(task.calls.begin(), task.calls.end(), slot_handle{0}) = handle;
+  effects.push_back(send_leaf_effect{leaf_call_id{handle}, leaf.info.id,
+                                     MakeRequest(task, now)});
+  ++counters.leaf_requests;
+  if (purpose == call_purpose::hedge) ++counters.hedges;
+  if (purpose == call_purpose::retry) ++counters.retries;
+  ArmCall(handle, now);
+  if (purpose != call_purpose::first) return;
+  const std::size_t i = RankIndex(task.urgency);
+  const double cost = service.cost[i] > 0 ? service.cost[i] : service.mean;
+  service.queue.Charge(task.urgency, duration(static_cast<duration::rep>(cost)),
+                       floors);
+  service.ChargeBusy(task.urgency, cost, now);
+  service.budget.OnRequest();
+  GrantTokens(service, now);
+  SendProbes(id, now, effects);
+}
+
+void service_owner::state::SendProbes(slot_handle id, time_point now,
+                                      effect_list& effects) {
+  const task_record& task = *tasks.Find(id);
+  if (task.order) return;
+  service_state& service = *task.service;
+  const snapshot_id snapshot = batches.Find(task.batch)->snapshot;
+  for (leaf_health* leaf : service.leafs) {
+    if (!leaf->ejected || leaf->probing || leaf->probe_at > now) continue;
+    if (now - leaf->probe_at >= kProbeOverdue) {
+      leaf->Readmit(now);
+      continue;
+    }
+    if (!leaf->HasFreeSlot() || !Suits(task, *leaf)) continue;
+    if (leaf->Lacks(snapshot, now)) continue;
+    if (!service.budget.TakeForFault()) return;
+    leaf->probing = true;
+    Send(id, *leaf, call_purpose::probe, now, effects);
+    return;
+  }
+}
+
+bool service_owner::state::Waiting(const task_record& task) {
+  if (task.state != task_state::in_flight) return true;
+  // A probe alone does not count: its leaf is expected to be slow.
+  return std::any_of(task.calls.begin(), task.calls.end(), [&](slot_handle id) {
+    const call_record* call = calls.Find(id);
+    return call != nullptr && call->purpose != call_purpose::probe;
+  });
+}
+
+void service_owner::state::Retry(slot_handle id, const leaf_health& leaf,
+                                 time_point now, effect_list& effects) {
+  task_record& task = *tasks.Find(id);
+  if (task.tried_count < task.tried.size()) {
+    task.tried[task.tried_count++] = leaf.info.id;
+  }
+  if (Waiting(task)) return;
+  const placement verdict = Choose(task, now).verdict;
+  if (verdict == placement::exhausted || verdict == placement::lacking) {
+    FinishUnplaced(id, verdict, now, effects);
+    return;
+  }
+  task.repeated = true;
+  if (task.service->budget.TakeForFault()) {
+    Enqueue(id, now);
+    return;
+  }
+  task.state = task_state::token_wait;
+  task.service->token_wait.push_back(id);
+  AddTimer(std::max(SendBy(task, now), now), timer_kind::task, id);
+}
+
+void service_owner::state::GrantTokens(service_state& service, time_point now) {
+  while (!service.token_wait.empty() && service.budget.Available()) {
+    const slot_handle id = service.token_wait.front();
+    service.token_wait.pop_front();
+    const task_record* task = tasks.Find(id);
+    if (task == nullptr || task->state != task_state::token_wait) continue;
+    service.budget.TakeForFault();
+    Enqueue(id, now);
+  }
+}
+
+void service_owner::state::CancelCall(slot_handle id, time_point now,
+                                      effect_list& effects) {
+  call_record& call = *calls.Find(id);
+  call.task = 0;
+  // A probe measures its leaf even when the part was answered meanwhile.
+  if (call.purpose == call_purpose::probe) return;
+  StopCall(id, now, effects);
+}
+
+void service_owner::state::StopCall(slot_handle id, time_point now,
+                                    effect_list& effects) {
+  call_record& call = *calls.Find(id);
+  call.task = 0;
+  call.cancelled = true;
+  if (!call.spans_gap) {
+    call.leaf->AddCensored(now - call.sent, call.service->mean, now);
+  }
+  effects.push_back(cancel_leaf_effect{leaf_call_id{id}, call.leaf->info.id});
+  ++counters.cancelled;
+  call.release_at = now + kCancelGrace;
+  AddTimer(call.release_at, timer_kind::call, id);
+}
+
+void service_owner::state::DropExpired(service_state& service, time_point now,
+                                       effect_list& effects) {
+  for (const rank urgency : kAllRanks) {
+    while (const queue_entry* front = service.queue.Front(urgency)) {
+      const queue_entry entry = *front;
+      const task_record* task = tasks.Find(entry.task);
+      const bool live = task != nullptr && task->state == task_state::queued &&
+                        task->sequence == entry.sequence;
+      if (live && !CannotFinish(*task, now)) break;
+      service.queue.Pop(urgency);
+      if (live) Drop(entry.task, now, effects);
+    }
+  }
+}
+
+void service_owner::state::ArmService(service_state& service, time_point now) {
+  time_point when = kNever;
+  for (const rank urgency : kAllRanks) {
+    if (service.queue.Live(urgency) == 0) continue;
+    const queue_entry* front = service.queue.Front(urgency);
+    const task_record* task = tasks.Find(front->task);
+    when =
+        std::min(when, task == nullptr ? front->deadline : SendBy(*task, now));
+  }
+  if (!service.owned && service.tasks == 0) {
+    when = std::min(when, now + kIdleConnections);
+  }
+  if (when >= service.timer_at) return;
+  service.timer_at = std::max(when, now);
+  ++service.refs;
+  AddTimer(service.timer_at, timer_kind::service, 0, &service);
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/leaf_queue.cpp
@@ -0,0 +1,83 @@
+/** @file leaf_queue.cpp Rank queues of one service with weighted floors. */
+
+#include "core/leaf_queue.h"
+
+#include <algorithm>
+
+namespace corianderrail {
+
+namespace {
+
+constexpr double kPpm = 1e6;
+
+/** Credit kept at most, in requests, so that a rank whose work cannot be
+ *  placed for a while does not lock out the others afterwards. */
+constexpr double kCreditLimit = 4;
+
+/** Heap order: earliest deadline on top. */
+bool Later(const queue_entry& a, const queue_entry& b) {
+  if (a.deadline != b.deadline) return a.deadline > b.deadline;
+  return a.sequence > b.sequence;
+}
+
+}  // namespace
+
+void leaf_queue::Push(rank urgency, queue_entry entry) {
+  auto& heap = heaps_[RankIndex(urgency)];
+  heap.push_back(entry);
+  std::push_heap(heap.begin(), heap.end(), Later);
+}
+
+const queue_entry* leaf_queue::Front(rank urgency) const {
+  const auto& heap = heaps_[RankIndex(urgency)];
+  return heap.empty() ? nullptr : &heap.front();
+}
+
+queue_entry leaf_queue::Pop(rank urgency) {
+  auto& heap = heaps_[RankIndex(urgency)];
+  std::pop_heap(heap.begin(), heap.end(), Later);
+  const queue_entry entry = heap.back();
+  heap.pop_back();
+  return entry;
+}
+
+void leaf_queue::RemoveLive(rank urgency) {
+  const std::size_t i = RankIndex(urgency);
+  --live_[i];
+  // Credit is a claim of waiting work; without work it would grow into a
+  // burst later.
+  if (live_[i] == 0) credit_[i] = std::min(credit_[i], last_cost_);
+}
+
+per_rank<rank> leaf_queue::Order(const per_rank<ppm>& floors) const {
+  per_rank<rank> order = kAllRanks;
+  const auto due = [&](rank r) {
+    const std::size_t i = RankIndex(r);
+    if (live_[i] == 0 || floors[i] == 0) return 0.0;
+    return credit_[i] >= last_cost_ ? credit_[i] / floors[i] : 0.0;
+  };
+  std::stable_sort(order.begin(), order.end(),
+                   [&](rank a, rank b) { return due(a) > due(b); });
+  return order;
+}
+
+void leaf_queue::Charge(rank served, duration cost,
+                        const per_rank<ppm>& floors) {
+  const double micros = std::max<double>(1, static_cast<double>(cost.count()));
+  // Floors above the whole are scaled down, so that credit stays bounded.
+  const double whole =
+      std::max(kPpm, static_cast<double>(floors[0]) + floors[1] + floors[2]);
+  last_cost_ = micros;
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    if (live_[i] > 0 || i == RankIndex(served)) {
+      credit_[i] += micros * floors[i] / whole;
+    }
+  }
+  double& own = credit_[RankIndex(served)];
+  own = std::max(0.0, own - micros);
+  for (double& credit : credit_) {
+    credit = std::min(credit, kCreditLimit * micros);
+  }
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/leaf_queue.h
@@ -0,0 +1,53 @@
+/** @file leaf_queue.h Rank queues of one service with weighted floors. */
+
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/contract_type.h"
+#include "core/rank_type.h"
+#include "core/slot_table.h"
+#include "core/time_type.h"
+
+namespace corianderrail {
+
+/** One queued piece of work. */
+struct queue_entry {
+  time_point deadline{};       ///< Order within the rank.
+  std::uint64_t sequence = 0;  ///< Order among equal deadlines.
+  slot_handle task = 0;        ///< The work; may be gone already.
+};
+
+/**
+ * One queue per rank, earliest deadline first. Each rank with waiting work
+ * gets its floor share of slot time first; the rest goes by strict rank.
+ */
+class leaf_queue {
+ public:
+  void Push(rank urgency, queue_entry entry);
+
+  /** Earliest entry of a rank, or null. */
+  const queue_entry* Front(rank urgency) const;
+  queue_entry Pop(rank urgency);
+
+  /** Counts live entries; stale entries stay until they are popped. */
+  void AddLive(rank urgency) { ++live_[RankIndex(urgency)]; }
+  void RemoveLive(rank urgency);
+  std::size_t Live(rank urgency) const { return live_[RankIndex(urgency)]; }
+  std::size_t LiveTotal() const { return live_[0] + live_[1] + live_[2]; }
+
+  /** Ranks in the order in which they are served now. */
+  per_rank<rank> Order(const per_rank<ppm>& floors) const;
+
+  /** Charges slot time to the rank that was served. */
+  void Charge(rank served, duration cost, const per_rank<ppm>& floors);
+
+ private:
+  per_rank<std::vector<queue_entry>> heaps_;
+  per_rank<std::size_t> live_{};
+  per_rank<double> credit_{};  ///< Slot time due to each rank, microseconds.
+  double last_cost_ = 1;       ///< Credit that entitles a rank to be served.
+};
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/service_owner.cpp
@@ -0,0 +1,558 @@
+/** @file service_owner.cpp Intake of work and its outcomes. */
+
+#include "core/service_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/owner_state.h"
+
+namespace corianderrail {
+
+namespace {
+
+/** Parts of one rank that may wait in one service; more would only expire. */
+constexpr std::size_t kQueueLimit = 20'000;
+
+/** Hosts that are told what was seen of a leaf. */
+constexpr std::size_t kContacts = 64;
+
+/** Least share of slots that a rank is assumed to get without a floor. */
+constexpr double kLeastShare = 0.01;
+
+const partition_map* FindMap(const topology& map, collection_id collection,
+                             snapshot_id snapshot) {
+  if (Raw(collection) >= map.collections.size()) return nullptr;
+  const auto& maps = map.collections[Raw(collection)].maps;
+  const auto found = std::find_if(
+      maps.begin(), maps.end(),
+      [&](const partition_map& each) { return each.snapshot == snapshot; });
+  return found == maps.end() ? nullptr : &*found;
+}
+
+/** Partition of a service that holds a key, in the newest map that says so. */
+const partition* FindPartition(const collection_info& collection,
+                               std::uint64_t key, service_id service) {
+  for (auto map = collection.maps.rbegin(); map != collection.maps.rend();
+       ++map) {
+    const auto after = std::upper_bound(
+        map->partitions.begin(), map->partitions.end(), key,
+        [](std::uint64_t k, const partition& p) { return k < p.range.begin; });
+    if (after == map->partitions.begin()) continue;
+    const partition& found = *std::prev(after);
+    if (found.service == service) return &found;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+service_state* service_owner::state::FindService(service_id id) {
+  return Raw(id) < by_id.size() ? by_id[Raw(id)] : nullptr;
+}
+
+rank_wait service_owner::state::Wait(service_state& service,
+                                     time_point now) const {
+  std::uint32_t slots = 0;
+  bool free = false;
+  for (const leaf_health* leaf : service.leafs) {
+    if (leaf->Leaving() || leaf->ejected) continue;
+    slots += leaf->Capacity();
+    free = free || leaf->HasFreeSlot();
+  }
+  rank_wait wait{};
+  double ahead = 0;
+  double taken = 0;
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    const double cost = service.cost[i] > 0 ? service.cost[i] : service.mean;
+    const double queued = static_cast<double>(service.queue.Live(kAllRanks[i]));
+    ahead += queued * cost;
+    const double floor = floors[i] / 1e6;
+    double expected = static_cast<double>(settings.leaf_timeout.count());
+    if (free && ahead == 0) {
+      expected = 0;
+    } else if (slots > 0) {
+      const double left = std::max({1 - taken, floor, kLeastShare});
+      expected = (ahead + cost) / (slots * left);
+      if (floor > 0) {
+        expected = std::min(expected, (queued + 1) * cost / (slots * floor));
+      }
+    }
+    wait[i] = static_cast<std::uint32_t>(std::min(expected, 4e9));
+    if (slots > 0) taken += service.BusyShare(kAllRanks[i], slots, now);
+  }
+  return wait;
+}
+
+void service_owner::state::SendPart(const batch_record& batch,
+                                    part_result result,
+                                    effect_list& effects) const {
+  // Results of one query that become known together share a message.
+  if (!effects.empty()) {
+    auto* last = std::get_if<send_peer_effect>(&effects.back());
+    auto* body =
+        last == nullptr ? nullptr : std::get_if<subquery_result>(&last->body);
+    if (body != nullptr && last->to == batch.from.host &&
+        last->to_incarnation == batch.from.incarnation &&
+        body->query == batch.query && body->snapshot == batch.snapshot) {
+      body->parts.push_back(std::move(result));
+      return;
+    }
+  }
+  subquery_result body;
+  body.query = batch.query;
+  body.snapshot = batch.snapshot;
+  body.parts.push_back(std::move(result));
+  effects.push_back(send_peer_effect{batch.from.host, batch.address,
+                                     batch.from.incarnation, std::move(body)});
+}
+
+void service_owner::state::SendOrderResult(const peer_message& from,
+                                           const order_attempt& body,
+                                           run_state outcome,
+                                           refusal_reason reason,
+                                           const std::string& payload,
+                                           effect_list& effects) const {
+  order_result result;
+  result.id = body.id;
+  result.attempt = body.attempt;
+  result.service = body.service;
+  result.outcome = outcome;
+  result.reason = reason;
+  result.payload = payload;
+  effects.push_back(send_peer_effect{from.from.host, from.from_address,
+                                     from.from.incarnation, std::move(result)});
+}
+
+void service_owner::state::EraseTask(slot_handle id) {
+  task_record* task = tasks.Find(id);
+  LeaveQueue(*task);
+  --task->service->tasks;
+  tasks.Erase(id);
+}
+
+void service_owner::state::FinishPart(slot_handle id, part_status status,
+                                      std::string payload, time_point now,
+                                      effect_list& effects) {
+  task_record& task = *tasks.Find(id);
+  for (const slot_handle call : task.calls) {
+    if (call != 0) CancelCall(call, now, effects);
+  }
+  batch_record& batch = *batches.Find(task.batch);
+  part_result result;
+  result.partition = task.partition;
+  result.service = task.named;
+  result.status = status;
+  result.newest = task.service->newest;
+  result.wait = Wait(*task.service, now);
+  result.payload = std::move(payload);
+  SendPart(batch, std::move(result), effects);
+  const slot_handle batch_id = task.batch;
+  EraseTask(id);
+  if (--batch.open > 0) return;
+  const auto found = queries.find(query_key{batch.from, batch.query});
+  if (found != queries.end() && found->second == batch_id) {
+    queries.erase(found);
+  }
+  batches.Erase(batch_id);
+}
+
+void service_owner::state::FinishOrder(slot_handle id, run_state outcome,
+                                       refusal_reason reason,
+                                       std::string payload, time_point now,
+                                       effect_list& effects) {
+  task_record& task = *tasks.Find(id);
+  const order_work& work = *task.order;
+  // The record comes first: a copy that arrives after the answer must find
+  // the outcome.
+  attempts.Finish(work.body.id, outcome, reason, payload);
+  const attempt_record* record = attempts.Find(work.body.id);
+  order_result result;
+  result.id = work.body.id;
+  result.attempt = record != nullptr ? record->attempt : work.body.attempt;
+  result.service = record != nullptr ? record->service : work.body.service;
+  result.outcome = outcome;
+  result.reason = reason;
+  result.wait = Wait(*task.service, now);
+  result.payload = std::move(payload);
+  effects.push_back(send_peer_effect{work.from.host, work.address,
+                                     work.from.incarnation, std::move(result)});
+  for (const slot_handle call : task.calls) {
+    if (call_record* open = calls.Find(call)) open->task = 0;
+  }
+  EraseTask(id);
+}
+
+void service_owner::state::Drop(slot_handle id, time_point now,
+                                effect_list& effects) {
+  const task_record& task = *tasks.Find(id);
+  ++counters.dropped;
+  const bool expired = task.deadline <= now;
+  if (task.order) {
+    FinishOrder(
+        id, run_state::not_run,
+        expired ? refusal_reason::deadline_passed : refusal_reason::overloaded,
+        {}, now, effects);
+    return;
+  }
+  FinishPart(id, expired ? part_status::expired : part_status::overloaded, {},
+             now, effects);
+}
+
+void service_owner::state::NoteContact(const peer_message& from, time_point now,
+                                       effect_list& effects) {
+  if (from.from.host == self.host) return;
+  const auto found = contacts.find(from.from.host);
+  const bool fresh = found == contacts.end() ||
+                     found->second.incarnation != from.from.incarnation;
+  if (fresh && found == contacts.end() && contacts.size() >= kContacts) {
+    contacts.erase(std::min_element(contacts.begin(), contacts.end(),
+                                    [](const auto& a, const auto& b) {
+                                      return a.second.heard < b.second.heard;
+                                    }));
+  }
+  contacts[from.from.host] = {from.from.incarnation, from.from_address, now};
+  if (!fresh) return;
+  // A new process has missed earlier observations.
+  for (const auto& [id, leaf] : leafs) {
+    if (!leaf->draining || !leaf->drain_seen_here) continue;
+    effects.push_back(send_peer_effect{from.from.host, from.from_address,
+                                       from.from.incarnation,
+                                       leaf_observation{id, true}});
+  }
+}
+
+void service_owner::state::TakeBatch(const peer_message& from,
+                                     const subquery_batch& body, time_point now,
+                                     effect_list& effects) {
+  NoteContact(from, now, effects);
+  const query_key key{from.from, body.query};
+  auto known = queries.find(key);
+  if (known != queries.end()) {
+    const batch_record& former = *batches.Find(known->second);
+    if (former.snapshot > body.snapshot) return;
+    if (former.snapshot < body.snapshot) {
+      // The entry has moved the query to a newer snapshot.
+      CancelQuery(key, now, effects);
+      known = queries.end();
+    }
+  }
+  slot_handle id = 0;
+  const bool repeated = known != queries.end();
+  if (repeated) {
+    id = known->second;
+  } else {
+    batch_record batch;
+    batch.from = from.from;
+    batch.address = from.from_address;
+    batch.query = body.query;
+    batch.snapshot = body.snapshot;
+    batch.payload = body.payload;
+    batch.map = map;
+    id = batches.Insert(std::move(batch));
+    queries[key] = id;
+  }
+  batch_record& batch = *batches.Find(id);
+  ++batch.open;  // Held while parts are added.
+  const topology* known_map = batch.map.get();
+  const partition_map* partitions = nullptr;
+  if (known_map != nullptr) {
+    partitions = FindMap(*known_map, body.collection, body.snapshot);
+  }
+  if (partitions != nullptr) {
+    batch.collection = known_map->collections[Raw(body.collection)].name;
+  }
+  for (const subquery_part& part : body.parts) {
+    if (repeated && HasOpenPart(batch, part.partition)) continue;
+    TakePart(body, part, id, partitions, now, effects);
+  }
+  for (const subquery_part& part : body.parts) {
+    service_state* service = FindService(part.service);
+    if (service != nullptr) Dispatch(*service, now, effects);
+  }
+  if (--batch.open > 0) return;
+  queries.erase(key);
+  batches.Erase(id);
+}
+
+bool service_owner::state::HasOpenPart(const batch_record& batch,
+                                       partition_id id) {
+  return std::any_of(batch.tasks.begin(), batch.tasks.end(),
+                     [&](slot_handle task) {
+                       const task_record* open = tasks.Find(task);
+                       return open != nullptr && open->partition == id;
+                     });
+}
+
+void service_owner::state::TakePart(const subquery_batch& body,
+                                    const subquery_part& part,
+                                    slot_handle batch_id,
+                                    const partition_map* partitions,
+                                    time_point now, effect_list& effects) {
+  batch_record& batch = *batches.Find(batch_id);
+  const std::size_t index = Raw(part.partition);
+  service_state* service = FindService(part.service);
+  const partition* found = nullptr;
+  if (partitions != nullptr && index < partitions->partitions.size()) {
+    found = &partitions->partitions[index];
+  }
+  // A batch that still lives from before a topology change may number its
+  // services differently.
+  const bool same_map = batch.map == map;
+  if (found == nullptr || service == nullptr || !same_map ||
+      found->service != part.service) {
+    part_result result;
+    result.partition = part.partition;
+    result.service = part.service;
+    result.status = part_status::unknown_part;
+    SendPart(batch, std::move(result), effects);
+    return;
+  }
+  task_record task;
+  task.service = service;
+  task.named = part.service;
+  task.urgency = body.urgency;
+  task.arrived = now;
+  task.deadline = now + body.remaining;
+  task.batch = batch_id;
+  task.partition = part.partition;
+  task.part = found;
+  const slot_handle id = tasks.Insert(std::move(task));
+  batch.tasks.push_back(id);
+  ++batch.open;
+  ++service->tasks;
+  Enqueue(id, now);
+  if (body.remaining <= duration::zero() ||
+      service->queue.Live(body.urgency) > kQueueLimit) {
+    Drop(id, now, effects);
+  }
+}
+
+void service_owner::state::CancelQuery(const query_key& key, time_point now,
+                                       effect_list& effects) {
+  const auto found = queries.find(key);
+  if (found == queries.end()) return;
+  const slot_handle batch = found->second;
+  queries.erase(found);
+  const std::vector<slot_handle> open = std::move(batches.Find(batch)->tasks);
+  for (const slot_handle id : open) {
+    task_record* task = tasks.Find(id);
+    if (task == nullptr) continue;
+    for (const slot_handle call : task->calls) {
+      if (call != 0) CancelCall(call, now, effects);
+    }
+    EraseTask(id);
+  }
+  batches.Erase(batch);
+}
+
+void service_owner::state::TakeOrder(const peer_message& from,
+                                     const order_attempt& body, time_point now,
+                                     effect_list& effects) {
+  NoteContact(from, now, effects);
+  // An attempt for an earlier life may have run there, and only the home
+  // knows which attempts it made.
+  const bool addressed =
+      from.to_incarnation == self.incarnation && from.from == body.id.home;
+  const attempt_verdict verdict =
+      addressed ? attempts.Take(body.id, body.attempt, body.service)
+                : attempt_verdict::unknown;
+  switch (verdict) {
+    case attempt_verdict::run:
+      QueueOrder(from, body, now, effects);
+      return;
+    case attempt_verdict::wait:
+    case attempt_verdict::ignore:
+      return;
+    case attempt_verdict::unknown:
+      SendOrderResult(from, body, run_state::unknown,
+                      refusal_reason::outcome_unknown, {}, effects);
+      return;
+    case attempt_verdict::recorded: {
+      const attempt_record* record = attempts.Find(body.id);
+      SendOrderResult(from, body, record->outcome, record->reason,
+                      record->payload, effects);
+      return;
+    }
+  }
+}
+
+void service_owner::state::QueueOrder(const peer_message& from,
+                                      const order_attempt& body, time_point now,
+                                      effect_list& effects) {
+  service_state* service = FindService(body.service);
+  const partition* part = nullptr;
+  if (service != nullptr) {
+    const auto collection = Raw(map->services[Raw(body.service)].collection);
+    if (collection < map->collections.size() &&
+        map->collections[collection].name == body.collection) {
+      part =
+          FindPartition(map->collections[collection], body.key, body.service);
+    }
+  }
+  if (part == nullptr) {
+    // The home's topology differs: this service does not hold the key.
+    attempts.Finish(body.id, run_state::not_run, refusal_reason::no_topology,
+                    {});
+    SendOrderResult(from, body, run_state::not_run, refusal_reason::no_topology,
+                    {}, effects);
+    return;
+  }
+  task_record task;
+  task.service = service;
+  task.named = body.service;
+  task.urgency = body.urgency;
+  task.arrived = now;
+  task.deadline = now + body.remaining;
+  task.part = part;
+  task.order = std::make_unique<order_work>();
+  task.order->from = from.from;
+  task.order->address = from.from_address;
+  task.order->body = body;
+  task.order->map = map;
+  const slot_handle id = tasks.Insert(std::move(task));
+  ++service->tasks;
+  Enqueue(id, now);
+  if (body.remaining <= duration::zero() ||
+      service->queue.Live(body.urgency) > kQueueLimit) {
+    Drop(id, now, effects);
+    return;
+  }
+  Dispatch(*service, now, effects);
+}
+
+service_owner::service_owner(host_ref self, owner_settings settings,
+                             std::uint64_t seed)
+    : state_(std::make_unique<state>(self, settings, seed)) {}
+
+service_owner::~service_owner() = default;
+
+void service_owner::SetTopology(std::shared_ptr<const topology> value,
+                                time_point now, effect_list& effects) {
+  state_->SetTopology(std::move(value), now, effects);
+}
+
+void service_owner::SetOwned(std::span<const service_id> services,
+                             time_point now, effect_list& effects) {
+  std::vector<bool> wanted(state_->by_id.size(), false);
+  for (const service_id id : services) {
+    if (Raw(id) < wanted.size()) wanted[Raw(id)] = true;
+  }
+  std::vector<leaf_health*> left;
+  for (const auto& [name, service] : state_->services) {
+    const bool owned = service->published && wanted[Raw(service->id)];
+    if (service->owned && !owned) {
+      left.insert(left.end(), service->leafs.begin(), service->leafs.end());
+    }
+    service->owned = owned;
+  }
+  for (const leaf_health* leaf : left) {
+    if (leaf->Leaving()) state_->Tell(*leaf, true, effects);
+  }
+  state_->UpdateAllConnections(effects);
+  (void)now;
+}
+
+void service_owner::SetFloors(const per_rank<ppm>& floors) {
+  state_->floors = floors;
+}
+
+void service_owner::OnSubqueryBatch(const peer_message& from,
+                                    const subquery_batch& body, time_point now,
+                                    effect_list& effects) {
+  state_->TakeBatch(from, body, now, effects);
+}
+
+void service_owner::OnSubqueryCancel(const peer_message& from,
+                                     const subquery_cancel& body,
+                                     time_point now, effect_list& effects) {
+  state_->CancelQuery(query_key{from.from, body.query}, now, effects);
+  state_->PruneTimers();
+}
+
+void service_owner::OnOrderAttempt(const peer_message& from,
+                                   const order_attempt& body, time_point now,
+                                   effect_list& effects) {
+  state_->TakeOrder(from, body, now, effects);
+}
+
+void service_owner::OnLeafReply(const leaf_reply_event& reply, time_point now,
+                                effect_list& effects) {
+  state_->OnReply(reply, now, effects);
+  state_->PruneTimers();
+}
+
+void service_owner::OnLeafFailure(const leaf_failure_event& failure,
+                                  time_point now, effect_list& effects) {
+  state_->OnFailure(Raw(failure.call), failure.failure, now, effects);
+  state_->PruneTimers();
+}
+
+void service_owner::OnLeafConnections(const leaf_connections_event& connections,
+                                      time_point now, effect_list& effects) {
+  state_->OnConnections(connections, now, effects);
+}
+
+void service_owner::OnHostList(const host_list_event& list, time_point now,
+                               effect_list& effects) {
+  if (!list.reachable) return;
+  for (const host_list_entry& entry : list.entries) {
+    const auto found = state_->by_address.find(entry.address);
+    if (found == state_->by_address.end()) continue;
+    leaf_health& leaf = *found->second;
+    if (leaf.listed_leaving == entry.leaving) continue;
+    leaf.listed_leaving = entry.leaving;
+    if (entry.leaving) state_->Tell(leaf, true, effects);
+    if (!entry.leaving) state_->NoteReturn(leaf, now, effects);
+    state_->UpdateConnections(leaf, effects);
+  }
+}
+
+void service_owner::OnLeafObservation(const leaf_observation& observation,
+                                      time_point now, effect_list& effects) {
+  const auto found = state_->leafs.find(observation.leaf);
+  if (found == state_->leafs.end()) return;
+  leaf_health& leaf = *found->second;
+  if (observation.draining) {
+    state_->NoteDrain(leaf, false, now, effects);
+  } else if (leaf.draining && !leaf.drain_seen_here) {
+    state_->NoteReturn(leaf, now, effects);
+  }
+}
+
+void service_owner::OnTick(time_point now, effect_list& effects) {
+  auto& timers = state_->timers;
+  while (!timers.empty() && timers.top().when <= now) {
+    const timer_entry due = timers.top();
+    timers.pop();
+    state_->OnTimer(due, now, effects);
+  }
+  state_->PruneTimers();
+}
+
+time_point service_owner::NextWake() const {
+  return state_->timers.empty() ? kNever : state_->timers.top().when;
+}
+
+void service_owner::OnClockGap(time_point now, effect_list& effects) {
+  for (const slot_handle id : state_->calls.Handles()) {
+    state_->calls.Find(id)->spans_gap = true;
+  }
+  for (const slot_handle id : state_->tasks.Handles()) {
+    const task_record* task = state_->tasks.Find(id);
+    if (task == nullptr) continue;
+    const bool waiting = task->state != task_state::in_flight;
+    // A home that waited through the pause has given up on its attempts.
+    const bool stale = task->order ? waiting : task->deadline <= now;
+    if (stale) state_->Drop(id, now, effects);
+  }
+  OnTick(now, effects);
+}
+
+bool service_owner::Idle() const { return state_->tasks.Size() == 0; }
+
+const owner_counters& service_owner::Counters() const {
+  return state_->counters;
+}
+
+}  // namespace corianderrail
--- a/packages/core/service_owner.h
+++ b/packages/core/service_owner.h
@@ -38,6 +38,9 @@
 class service_owner {
  public:
   service_owner(host_ref self, owner_settings settings, std::uint64_t seed);
+  ~service_owner();
+  service_owner(const service_owner&) = delete;
+  service_owner& operator=(const service_owner&) = delete;
 
   /** Takes a new topology; work for removed services is answered as failed. */
   void SetTopology(std::shared_ptr<const topology> value, time_point now,
@@ -76,6 +79,10 @@
   bool Idle() const;
 
   const owner_counters& Counters() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
 };
 
 }  // namespace corianderrail
