--- /dev/null
+++ b/packages/core/admission.cpp
@@ -0,0 +1,392 @@
+/** @file admission.cpp Whether a request is admitted. */
+
+#include "core/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include "core/coverage.h"
+
+namespace corianderrail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Weight of a report that is above or below the smoothed wait. A rise must
+/// be seen within a few messages, or a flood at ten times capacity queues
+/// more than a latency target of work.
+constexpr double kRiseWeight = 0.5;
+constexpr double kFallWeight = 0.2;
+
+/// A wait without new reports falls to 1/e in this time; after 5 s, the time
+/// allowed for recovery, nothing is left of it.
+constexpr duration kWaitDecay = milliseconds(500);
+
+/// Part of the latency target that queueing may take, by rank. Less urgent
+/// ranks are refused at shorter waits.
+constexpr per_rank<double> kWaitShare = {0.4, 0.3, 0.2};
+
+/// Part of the latency target beyond which an answer in time is unlikely.
+constexpr double kHopelessShare = 0.9;
+
+/// Length of one control step; several reports arrive in it under load.
+constexpr duration kWindow = milliseconds(50);
+
+/// Time constant of the rate of answers in time.
+constexpr double kFinishSeconds = 0.3;
+
+/// Time constant with which the observed capacity is forgotten.
+constexpr double kCapacitySeconds = 30;
+
+/// Rise of the admitted rate in a window without any wait: a factor of 7 in
+/// one second, so that recovery takes less than the 5 s allowed.
+constexpr double kGrowth = 0.1;
+
+/// Largest fall of the admitted rate in one window.
+constexpr double kLargestFall = 0.7;
+
+/// Requests that may pass at once after a quiet moment, in seconds of rate.
+constexpr double kBurstSeconds = 0.02;
+
+/// One request passes this often whatever the load, so that a result brings
+/// a fresh wait.
+constexpr duration kProbePeriod = milliseconds(100);
+
+/// Lowest admitted rate per second while limiting.
+constexpr double kLeastRate = 10;
+
+constexpr duration kLeastRetry = milliseconds(100);
+constexpr duration kLongestRetry = std::chrono::seconds(2);
+
+double Seconds(duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+admission_refusal Refuse(refusal_reason reason, std::string detail,
+                         duration retry_after = {}) {
+  return {reason, std::move(detail), retry_after};
+}
+
+const work_contract* FindWork(const customer_contract& contract,
+                              std::string_view kind) {
+  for (const work_contract& work : contract.work) {
+    if (work.kind == kind) return &work;
+  }
+  return nullptr;
+}
+
+/** Newest complete map of a collection, or nothing. */
+const partition_map* NewestComplete(const collection_info& collection) {
+  for (auto map = collection.maps.rbegin(); map != collection.maps.rend();
+       ++map) {
+    if (IsComplete(*map)) return &*map;
+  }
+  return nullptr;
+}
+
+/** Service that holds a key, if any. */
+std::optional<service_id> ServiceOf(const partition_map& map,
+                                    std::uint64_t key) {
+  const auto after = std::upper_bound(
+      map.partitions.begin(), map.partitions.end(), key,
+      [](std::uint64_t k, const partition& p) { return k < p.range.begin; });
+  if (after == map.partitions.begin()) return std::nullopt;
+  const partition& part = *std::prev(after);
+  if (key >= part.range.end) return std::nullopt;
+  return part.service;
+}
+
+}  // namespace
+
+admission::admission(std::uint64_t seed) : random_(seed) {}
+
+void admission::SetContracts(std::shared_ptr<const contract_set> set,
+                             time_point /*now*/) {
+  set_ = std::move(set);
+  floors_ = {};
+  if (!set_) return;
+  for (const auto& [name, contract] : set_->customers) {
+    for (std::size_t i = 0; i < kRankCount; ++i) {
+      floors_[i] = std::max(floors_[i], contract.floor[i]);
+    }
+  }
+}
+
+void admission::SetTopology(std::shared_ptr<const topology> value,
+                            time_point now) {
+  topology_ = std::move(value);
+  std::vector<collection_load> former = std::exchange(collections_, {});
+  services_.assign(topology_ ? topology_->services.size() : 0, {});
+  if (!topology_) return;
+  for (const collection_info& collection : topology_->collections) {
+    collection_load load;
+    const auto old = std::find_if(
+        former.begin(), former.end(),
+        [&](const collection_load& l) { return l.name == collection.name; });
+    if (old != former.end()) load = std::move(*old);
+    load.name = collection.name;
+    load.map = NewestComplete(collection);
+    load.services.clear();
+    load.keys = load.map ? KeysIn(*load.map) : 0;
+    if (load.capacity_at == time_point{}) load.capacity_at = now;
+    if (load.map) {
+      for (const partition& part : load.map->partitions) {
+        if (Raw(part.service) >= services_.size()) continue;
+        service_load& service = services_[Raw(part.service)];
+        if (service.keys == 0) load.services.push_back(part.service);
+        service.keys += KeysIn(part.range);
+      }
+    }
+    collections_.push_back(std::move(load));
+  }
+}
+
+void admission::OnServiceWait(service_id service, const rank_wait& wait,
+                              time_point now) {
+  if (Raw(service) >= services_.size()) return;
+  service_load& load = services_[Raw(service)];
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    const double before = WaitOf(service, kAllRanks[i], now);
+    const double sample = wait[i];
+    const double weight = sample > before ? kRiseWeight : kFallWeight;
+    load.wait[i] = before + weight * (sample - before);
+  }
+  load.updated = now;
+}
+
+double admission::WaitOf(service_id service, rank urgency,
+                         time_point now) const {
+  const service_load& load = services_[Raw(service)];
+  const double age = Seconds(now - load.updated) / Seconds(kWaitDecay);
+  return load.wait[RankIndex(urgency)] * std::exp(-std::max(0.0, age));
+}
+
+/**
+ * Wait within which the contract's least coverage can be reached. The longest
+ * wait of all services would let one straggling service refuse all queries.
+ */
+double admission::WaitOf(const collection_load& load, const work_contract& work,
+                         time_point now) const {
+  std::vector<std::pair<double, std::uint64_t>> waits;
+  waits.reserve(load.services.size());
+  for (const service_id service : load.services) {
+    waits.emplace_back(WaitOf(service, work.urgency, now),
+                       services_[Raw(service)].keys);
+  }
+  std::sort(waits.begin(), waits.end());
+  std::uint64_t covered = 0;
+  for (const auto& [wait, keys] : waits) {
+    covered += keys;
+    if (ShareOf(covered, load.keys) >= work.min_coverage) return wait;
+  }
+  return waits.empty() ? 0 : waits.back().first;
+}
+
+admission::collection_load* admission::FindCollection(std::string_view name) {
+  for (collection_load& load : collections_) {
+    if (load.name == name) return &load;
+  }
+  return nullptr;
+}
+
+void admission::CloseWindow(rank_gate& gate, double seconds) {
+  const double measured = gate.in_time / seconds;
+  const double weight = 1 - std::exp(-seconds / kFinishSeconds);
+  gate.finish_rate += weight * (measured - gate.finish_rate);
+  double ratio = gate.peak_ratio;
+  // Late answers show a queue that the reported wait does not show yet. They
+  // count only together with some wait: a lost service is not an overload.
+  if (gate.late > gate.in_time && ratio > 0.25) ratio = std::max(ratio, 1.5);
+  if (ratio > 1) {
+    const double sustained =
+        gate.finish_rate * std::max(0.5, 1 - 0.2 * (ratio - 1));
+    const double least = gate.limiting ? gate.rate * kLargestFall : 0;
+    const double highest = gate.limiting ? gate.rate : sustained;
+    gate.rate = std::min(std::max(sustained, least), highest);
+    gate.rate = std::max(gate.rate, kLeastRate);
+    gate.limiting = true;
+  } else if (gate.limiting) {
+    gate.rate *= 1 + kGrowth * (1 - ratio) * (seconds / Seconds(kWindow));
+    // Far above what is asked for: the limit has no effect any more.
+    if (ratio < 0.1 && gate.rate > 10 * gate.finish_rate + 10 * kLeastRate) {
+      gate.limiting = false;
+    }
+  }
+  gate.in_time = 0;
+  gate.late = 0;
+  gate.peak_ratio = 0;
+}
+
+/** Refills the tokens of a gate and closes its window when it is over. */
+void admission::Advance(collection_load& load, rank urgency, time_point now) {
+  rank_gate& gate = load.gates[RankIndex(urgency)];
+  const double elapsed = std::clamp(Seconds(now - gate.refilled), 0.0, 1.0);
+  gate.refilled = now;
+  const double rate_cap = std::max(1.0, gate.rate * kBurstSeconds);
+  gate.tokens = std::min(rate_cap, gate.tokens + gate.rate * elapsed);
+  const double floor_rate =
+      load.capacity * floors_[RankIndex(urgency)] / kWholePpm;
+  const double floor_cap = std::max(1.0, floor_rate * kBurstSeconds);
+  gate.floor_tokens =
+      std::min(floor_cap, gate.floor_tokens + floor_rate * elapsed);
+  if (now - gate.window < kWindow) return;
+  const double length = std::clamp(Seconds(now - gate.window), 0.0, 1.0);
+  gate.window = now;
+  CloseWindow(gate, length);
+  double total = 0;
+  for (const rank_gate& each : load.gates) total += each.finish_rate;
+  const double quiet = Seconds(now - load.capacity_at) / kCapacitySeconds;
+  load.capacity_at = now;
+  load.capacity = std::max(total, load.capacity * std::exp(-quiet));
+}
+
+admission::pass admission::CheckLoad(collection_load& load,
+                                     const work_contract& work, double wait,
+                                     duration budget, time_point now) {
+  const std::size_t index = RankIndex(work.urgency);
+  rank_gate& gate = load.gates[index];
+  Advance(load, work.urgency, now);
+  const double limit = static_cast<double>(budget.count());
+  gate.peak_ratio =
+      std::max(gate.peak_ratio, wait / (limit * kWaitShare[index]));
+  const bool hopeless = wait > limit * kHopelessShare;
+  if (!hopeless && !gate.limiting) return pass::open;
+  if (!hopeless && gate.tokens >= 1) return pass::rate;
+  if (gate.floor_tokens >= 1) return pass::floor;
+  if (now - gate.admitted >= kProbePeriod) return pass::probe;
+  return pass::refused;
+}
+
+void admission::Commit(rank_gate& gate, pass how, time_point now) {
+  gate.admitted = now;
+  if (how == pass::rate) gate.tokens -= 1;
+  if (how == pass::floor) gate.floor_tokens -= 1;
+}
+
+std::optional<admission_ticket> admission::Admit(
+    std::string_view customer, std::string_view kind, work_type type,
+    duration deadline, revision_id seen_revision,
+    std::optional<std::uint64_t> key, limit_share& shares, time_point now,
+    admission_refusal& refused, effect_list& effects) {
+  const auto invalid = [&](refusal_reason reason, std::string detail) {
+    ++counters_.invalid;
+    refused = Refuse(reason, std::move(detail));
+    return std::nullopt;
+  };
+  if (!set_) {
+    refused = Refuse(refusal_reason::not_ready,
+                     "no contracts are in force yet; ask for other addresses",
+                     kLeastRetry);
+    return std::nullopt;
+  }
+  if (behind_ || seen_revision > set_->revision) {
+    refused = Refuse(
+        refusal_reason::contract_stale,
+        "this host has contract revision " +
+            std::to_string(Raw(set_->revision)) +
+            ", which is not the newest; try again or ask for other addresses",
+        kLeastRetry);
+    return std::nullopt;
+  }
+  const auto contract = set_->customers.find(std::string(customer));
+  if (contract == set_->customers.end()) {
+    return invalid(refusal_reason::unknown_customer,
+                   "customer '" + std::string(customer) +
+                       "' has no contract; publish one or correct the name");
+  }
+  const work_contract* work = FindWork(contract->second, kind);
+  if (work == nullptr) {
+    return invalid(refusal_reason::unknown_kind,
+                   "the contract of '" + std::string(customer) +
+                       "' has no kind '" + std::string(kind) +
+                       "'; add it to the contract or correct the name");
+  }
+  if (work->type != type) {
+    return invalid(
+        refusal_reason::bad_request,
+        "kind '" + std::string(kind) + "' is for " +
+            (work->type == work_type::order ? "orders; send it to /v1/orders"
+                                            : "queries; send it to /v1/query"));
+  }
+  if (deadline < duration{}) {
+    return invalid(refusal_reason::bad_request,
+                   "the deadline is negative; send the remaining time, or 0 "
+                   "for the contract's longest");
+  }
+  if (deadline > work->deadline_max) {
+    return invalid(refusal_reason::deadline_too_long,
+                   "the deadline exceeds the contract's longest of " +
+                       std::to_string(work->deadline_max.count()) +
+                       " us; ask for less or raise deadline_max");
+  }
+  if (deadline == duration{}) deadline = work->deadline_max;
+  collection_load* load = FindCollection(work->collection);
+  if (load == nullptr || load->map == nullptr) {
+    refused = Refuse(refusal_reason::no_topology,
+                     "collection '" + work->collection +
+                         "' has no complete partition map; publish one",
+                     kLeastRetry);
+    return std::nullopt;
+  }
+  admission_ticket ticket{
+      set_,           work,           contract->second.preference,
+      set_->revision, now + deadline, std::nullopt};
+  if (key) {
+    ticket.service = ServiceOf(*load->map, *key);
+    if (!ticket.service || Raw(*ticket.service) >= services_.size()) {
+      return invalid(refusal_reason::bad_request,
+                     "key " + std::to_string(*key) +
+                         " is outside the collection's key space");
+    }
+  }
+  const double wait = ticket.service
+                          ? WaitOf(*ticket.service, work->urgency, now)
+                          : WaitOf(*load, *work, now);
+  const duration budget = work->latency_target > duration{}
+                              ? std::min(deadline, work->latency_target)
+                              : deadline;
+  const std::size_t index = RankIndex(work->urgency);
+  const pass how = CheckLoad(*load, *work, wait, budget, now);
+  if (how == pass::refused) {
+    ++counters_.overloaded[index];
+    const auto expected = duration(static_cast<duration::rep>(wait));
+    duration retry = std::clamp(expected, kLeastRetry, kLongestRetry);
+    // Spread over one more interval, so that refused callers do not return
+    // together.
+    retry += duration(static_cast<duration::rep>(
+        random_.Below(static_cast<std::uint64_t>(retry.count()))));
+    refused =
+        Refuse(refusal_reason::overloaded,
+               "the expected wait for " + std::string(RankName(work->urgency)) +
+                   " work is too long; try again later",
+               retry);
+    return std::nullopt;
+  }
+  duration retry_after{};
+  if (!shares.TryTake(customer, kind, now, retry_after, effects)) {
+    ++counters_.rate_limited[index];
+    refused = Refuse(refusal_reason::rate_limit,
+                     "the rate of kind '" + std::string(kind) +
+                         "' is used up; slow down or raise rate_per_s",
+                     retry_after);
+    return std::nullopt;
+  }
+  Commit(load->gates[index], how, now);
+  ++counters_.admitted[index];
+  return ticket;
+}
+
+void admission::OnFinished(const admission_ticket& ticket, bool in_time,
+                           time_point now) {
+  if (ticket.work == nullptr) return;
+  collection_load* load = FindCollection(ticket.work->collection);
+  if (load == nullptr) return;
+  rank_gate& gate = load->gates[RankIndex(ticket.work->urgency)];
+  ++(in_time ? gate.in_time : gate.late);
+  Advance(*load, ticket.work->urgency, now);
+}
+
+}  // namespace corianderrail
--- a/packages/core/host_reducer.cpp
+++ b/packages/core/host_reducer.cpp
@@ -139,8 +139,7 @@
                        refused.detail, refused.retry_after, Revision()}});
     return;
   }
-  gather.Start(event.call, request, *ticket->work, ticket->preference,
-               ticket->revision, ticket->deadline, owners, now, effects);
+  gather.Start(event.call, request, *ticket, owners, gate, now, effects);
 }
 
 void host_reducer::state::OnPeer(const peer_message& message, time_point now,
@@ -170,8 +169,9 @@
                    orders.OnResult(message, body, gate, owners, now, effects);
                  },
                  [&](const order_forward& body) {
+                   gate.SetBehind(contracts.Behind());
                    orders.OnForward(message, body, gate, shares, owners,
-                                    members, Revision(), now, effects);
+                                    Revision(), now, effects);
                  },
                  [&](const order_reply& body) {
                    orders.OnReply(message, body, now, effects);
@@ -216,8 +216,8 @@
   reader.OnTick(now, effects);
   shares.OnTick(now, effects);
   scheduler.OnTick(now, effects);
-  gather.OnTick(owners, now, effects);
-  orders.OnTick(now, effects);
+  gather.OnTick(owners, gate, now, effects);
+  orders.OnTick(gate, now, effects);
 }
 
 void host_reducer::state::OnGap(time_point now, effect_list& effects) {
@@ -225,8 +225,8 @@
       "the clock jumped; dropping expired work and rejoining the fleet"});
   shares.OnClockGap(now);
   scheduler.OnClockGap(now, effects);
-  gather.OnClockGap(now, effects);
-  orders.OnClockGap(now, effects);
+  gather.OnClockGap(gate, now, effects);
+  orders.OnClockGap(gate, now, effects);
   contracts.OnClockGap(now, effects);
   reader.OnClockGap(now, effects);
   members.OnClockGap(now, effects);
@@ -246,11 +246,12 @@
           [&](const caller_order_event& event) {
             // Copies of an order are never refused here: only its home knows
             // whether an earlier copy ran.
-            orders.OnOrder(event, gate, shares, owners, members, Revision(),
-                           now, effects);
+            gate.SetBehind(contracts.Behind());
+            orders.OnOrder(event, gate, shares, owners, Revision(), now,
+                           effects);
           },
           [&](const caller_order_status_event& event) {
-            orders.OnStatus(event, members, Revision(), now, effects);
+            orders.OnStatus(event, Revision(), now, effects);
           },
           [&](const caller_address_event& event) {
             const auto all = members.Members();
@@ -261,7 +262,7 @@
                 settings.address.time_to_live, Revision()});
           },
           [&](const caller_gone_event& event) {
-            gather.OnCallerGone(event.call, now, effects);
+            gather.OnCallerGone(event.call, gate, now, effects);
             orders.OnCallerGone(event.call);
           },
           [&](const peer_event& event) { OnPeer(event.message, now, effects); },
@@ -309,10 +310,9 @@
   owners.SetServices(map->services);
   gate.SetTopology(map, now);
   gather.SetTopology(map, now);
-  orders.SetTopology(map, now);
   scheduler.SetTopology(map, now, effects);
   scheduler.SetOwned(owners.OwnedBy(self.host), now, effects);
-  gather.OnOwnersChanged(owners, now, effects);
+  gather.OnOwnersChanged(owners, gate, now, effects);
 }
 
 void host_reducer::state::PropagateMembers(time_point now,
@@ -323,8 +323,10 @@
   shares.SetMembers(all, now);
   reader.SetMembers(all, now, effects);
   owners.SetMembers(all);
+  gather.SetMembers(all);
+  orders.SetMembers(all);
   scheduler.SetOwned(owners.OwnedBy(self.host), now, effects);
-  gather.OnOwnersChanged(owners, now, effects);
+  gather.OnOwnersChanged(owners, gate, now, effects);
 }
 
 void host_reducer::state::UpdatePhase(time_point now, effect_list& effects) {
--- /dev/null
+++ b/packages/core/order_table.cpp
@@ -0,0 +1,522 @@
+/** @file order_table.cpp Life of an order at its home. */
+
+#include "core/order_table.h"
+
+#include <algorithm>
+
+namespace corianderrail {
+
+namespace {
+
+/// Identifiers issued by one request at most.
+constexpr std::uint32_t kMostPerIssue = 1'000;
+
+/// Part of the table that the unused identifiers of one customer may fill, so
+/// that one customer cannot push out the orders of the others.
+constexpr std::uint32_t kUnusedPart = 8;
+
+/// Attempts per order: the first, and one after the first owner said that it
+/// did not run the order.
+constexpr std::uint32_t kMostAttempts = 2;
+
+/// Sequences that were refused before they were issued. Each costs memory
+/// until the sequence is reached, so their number is bounded; further ones
+/// are answered `unknown`.
+constexpr std::size_t kMostRefusedAhead = 1'024;
+
+constexpr duration kIssueRetry = std::chrono::seconds(1);
+
+constexpr std::string_view kFreshId = "; obtain a new identifier to try again";
+
+constexpr std::string_view kNeverIssued =
+    "the identifier was never issued; obtain one from /v1/order-ids";
+
+bool IsTerminal(order_state state) {
+  return state == order_state::ran || state == order_state::not_run ||
+         state == order_state::unknown;
+}
+
+std::string RefusalDetail(std::string_view detail) {
+  return std::string(detail) + std::string(kFreshId);
+}
+
+}  // namespace
+
+order_table::order_table(host_ref self, order_settings settings)
+    : self_(self), settings_(settings) {}
+
+void order_table::OnIssue(const caller_order_id_event& request,
+                          revision_id revision, time_point now,
+                          effect_list& effects) {
+  revision_ = revision;
+  DropExpired(now);
+  const std::uint32_t count = std::clamp(request.count, 1U, kMostPerIssue);
+  refusal refused;
+  refused.request_id = request.request_id;
+  refused.ran = run_state::not_run;
+  refused.retry_after = kIssueRetry;
+  refused.revision = revision;
+  const std::uint32_t unused = unused_[request.customer];
+  if (stopped_) {
+    refused.reason = refusal_reason::stopping;
+    refused.detail = "the host is stopping; ask for other addresses";
+  } else if (unused + count > std::max(1U, settings_.kept / kUnusedPart)) {
+    refused.reason = refusal_reason::rate_limit;
+    refused.detail = "too many unused identifiers; use them or ask for fewer";
+  } else if (!MakeRoom(count)) {
+    refused.reason = refusal_reason::overloaded;
+    refused.detail = "the order table is full; try again later";
+  } else {
+    answer_order_ids_effect answer{request.call, request.request_id, {}};
+    answer.ids.reserve(count);
+    while (answer.ids.size() < count) {
+      const std::uint64_t sequence = next_sequence_++;
+      if (refused_ahead_.erase(sequence) != 0) {
+        RememberRefused(sequence, now);
+        continue;
+      }
+      AddEntry(sequence, request.customer, now);
+      answer.ids.push_back({self_, sequence});
+    }
+    counters_.issued += count;
+    effects.push_back(std::move(answer));
+    return;
+  }
+  if (unused == 0) unused_.erase(request.customer);
+  effects.push_back(refuse_effect{request.call, std::move(refused)});
+}
+
+void order_table::AddEntry(std::uint64_t sequence, std::string customer,
+                           time_point now) {
+  ++unused_[customer];
+  entry order;
+  order.customer = std::move(customer);
+  order.state = order_state::issued;
+  order.expires = now + settings_.issued_for;
+  orders_.emplace(sequence, std::move(order));
+  issued_.push_back(sequence);
+}
+
+/** Keeps the `not_run` of a sequence that was refused before its turn. */
+void order_table::RememberRefused(std::uint64_t sequence, time_point now) {
+  entry order;
+  order.state = order_state::not_run;
+  order.reason = refusal_reason::unknown_order;
+  order.detail = std::string(kNeverIssued);
+  order.expires = now + settings_.kept_for;
+  orders_.emplace(sequence, std::move(order));
+  finished_.push_back(sequence);
+}
+
+/**
+ * Drops the oldest outcomes, then the oldest unused identifiers, until `count`
+ * entries fit. A dropped sequence is below next_sequence_ and not in the
+ * table, so it ends `unknown` and cannot run.
+ */
+bool order_table::MakeRoom(std::uint32_t count) {
+  for (auto* queue : {&finished_, &issued_}) {
+    while (!queue->empty() && orders_.size() + count > settings_.kept) {
+      const auto it = orders_.find(queue->front());
+      queue->pop_front();
+      if (it == orders_.end()) continue;
+      const bool used = IsTerminal(it->second.state);
+      if (used == (queue == &finished_) &&
+          it->second.state != order_state::pending) {
+        Erase(it);
+      }
+    }
+  }
+  return orders_.size() + count <= settings_.kept;
+}
+
+void order_table::Erase(entry_table::iterator it) {
+  if (it->second.state == order_state::issued) {
+    const auto count = unused_.find(it->second.customer);
+    if (count != unused_.end() && --count->second == 0) unused_.erase(count);
+  }
+  orders_.erase(it);
+}
+
+/** Drops identifiers never used and outcomes kept long enough. */
+void order_table::DropExpired(time_point now) {
+  for (auto* queue : {&finished_, &issued_}) {
+    while (!queue->empty()) {
+      const auto it = orders_.find(queue->front());
+      const bool mine = it != orders_.end() &&
+                        it->second.state != order_state::pending &&
+                        IsTerminal(it->second.state) == (queue == &finished_);
+      if (mine && it->second.expires > now) break;
+      queue->pop_front();
+      if (mine) Erase(it);
+    }
+  }
+}
+
+void order_table::OnOrder(const caller_order_event& order, admission& gate,
+                          limit_share& shares, const ownership& owners,
+                          revision_id revision, time_point now,
+                          effect_list& effects) {
+  revision_ = revision;
+  const order_request& request = order.request;
+  if (request.id.home != self_) {
+    Forward(request, false, order.call, request.request_id, now, effects);
+    return;
+  }
+  TakeCopy(request, {order.call, request.request_id, std::nullopt, {}, 0}, gate,
+           shares, owners, now, effects);
+}
+
+void order_table::OnForward(const peer_message& from, const order_forward& body,
+                            admission& gate, limit_share& shares,
+                            const ownership& owners, revision_id revision,
+                            time_point now, effect_list& effects) {
+  revision_ = revision;
+  waiter who{
+      {}, body.request.request_id, from.from, from.from_address, body.forward};
+  if (body.status_only) {
+    DropExpired(now);
+    order_status status = Look(body.request.id);
+    status.payload.clear();
+    Reply(who, std::move(status), effects);
+    return;
+  }
+  order_request request = body.request;
+  if (request.deadline > duration{}) {
+    request.deadline = std::min(request.deadline, body.remaining);
+  }
+  TakeCopy(request, std::move(who), gate, shares, owners, now, effects);
+}
+
+/** Takes a copy at its home; the first one starts the order. */
+void order_table::TakeCopy(const order_request& request, waiter who,
+                           admission& gate, limit_share& shares,
+                           const ownership& owners, time_point now,
+                           effect_list& effects) {
+  // An identifier or a pending order that expired unnoticed, during a pause
+  // for example, must not start or be waited for.
+  DropExpired(now);
+  ExpirePending(&gate, now, effects);
+  const auto it = request.id.home == self_ ? orders_.find(request.id.sequence)
+                                           : orders_.end();
+  if (it == orders_.end()) {
+    Reply(who, Look(request.id), effects);
+    return;
+  }
+  entry& order = it->second;
+  const bool issued = order.reason != refusal_reason::unknown_order;
+  if (issued && order.customer != request.customer) {
+    // The order of the rightful customer may have run, so `not_run` would be
+    // wrong if the caller only misspelt the name.
+    Reply(who,
+          UnknownStatus(request.id, refusal_reason::unknown_order,
+                        "the identifier belongs to another customer; obtain "
+                        "your own"),
+          effects);
+    return;
+  }
+  if (order.state == order_state::issued) {
+    Begin(it, request, gate, shares, owners, now, effects);
+  } else {
+    ++counters_.copies;
+  }
+  if (order.state == order_state::pending) {
+    order.waiters.push_back(std::move(who));
+    return;
+  }
+  Reply(who, StatusOf(it->first, order), effects);
+}
+
+/** Checks and starts an issued order; a refusal is recorded as `not_run`. */
+void order_table::Begin(entry_table::iterator it, const order_request& request,
+                        admission& gate, limit_share& shares,
+                        const ownership& owners, time_point now,
+                        effect_list& effects) {
+  entry& order = it->second;
+  if (stopped_) {
+    Finish(it, order_state::not_run, refusal_reason::stopping,
+           RefusalDetail("the host is stopping"), now, effects);
+    return;
+  }
+  admission_refusal refused;
+  auto ticket = gate.Admit(request.customer, request.kind, work_type::order,
+                           request.deadline, request.seen_revision, request.key,
+                           shares, now, refused, effects);
+  if (!ticket) {
+    order.retry_after = refused.retry_after;
+    Finish(it, order_state::not_run, refused.reason,
+           RefusalDetail(refused.detail), now, effects);
+    return;
+  }
+  const auto owner = owners.OwnerOf(*ticket->service);
+  if (!owner) {
+    order.retry_after = kIssueRetry;
+    Finish(it, order_state::not_run, refusal_reason::not_ready,
+           RefusalDetail("no host is ready for the service of this key"), now,
+           effects);
+    gate.OnFinished(*ticket, false, now);
+    return;
+  }
+  const auto unused = unused_.find(order.customer);
+  if (unused != unused_.end() && --unused->second == 0) unused_.erase(unused);
+  order.state = order_state::pending;
+  order.payload = request.payload;
+  order.key = request.key;
+  order.started = now;
+  order.expires = ticket->deadline;
+  order.ticket = std::move(ticket);
+  ++pending_;
+  deadlines_.insert({order.expires, it->first});
+  SendAttempt(it->first, order, *owner, now, effects);
+}
+
+/** Opens an attempt at one life of one owner. */
+void order_table::SendAttempt(std::uint64_t sequence, entry& order,
+                              host_ref owner, time_point now,
+                              effect_list& effects) {
+  order.owner = owner;
+  ++order.attempt;
+  order_attempt body;
+  body.id = {self_, sequence};
+  body.attempt = order.attempt;
+  body.service = *order.ticket->service;
+  body.collection = order.ticket->work->collection;
+  body.urgency = order.ticket->work->urgency;
+  body.key = order.key;
+  body.remaining = order.expires - now;
+  body.payload = order.payload;
+  effects.push_back(send_peer_effect{owner.host, AddressOf(owner.host),
+                                     owner.incarnation, std::move(body)});
+}
+
+void order_table::OnResult(const peer_message& from, const order_result& body,
+                           admission& load, const ownership& owners,
+                           time_point now, effect_list& effects) {
+  load.OnServiceWait(body.service, body.wait, now);
+  if (body.id.home != self_) return;
+  const auto it = orders_.find(body.id.sequence);
+  if (it == orders_.end()) return;
+  entry& order = it->second;
+  const bool matches = order.attempt != 0 && order.attempt == body.attempt &&
+                       order.owner == from.from;
+  if (!matches) return;
+  if (order.state == order_state::unknown) {
+    Settle(order, body);
+    return;
+  }
+  if (order.state != order_state::pending) return;
+  const admission_ticket ticket = *order.ticket;
+  if (body.outcome == run_state::not_run) {
+    if (TryAgain(it, owners, now, effects)) return;
+    order.retry_after = kIssueRetry;
+    Finish(it, order_state::not_run, body.reason,
+           RefusalDetail("the upstream did not run the order"), now, effects);
+  } else if (body.outcome == run_state::ran) {
+    order.payload = body.payload;
+    Finish(it, order_state::ran, {}, {}, now, effects);
+  } else {
+    Finish(it, order_state::unknown, body.reason,
+           "the order may have run; check with the upstream", now, effects);
+  }
+  const bool in_time = body.outcome == run_state::ran &&
+                       now - order.started <= ticket.work->latency_target;
+  load.OnFinished(ticket, in_time, now);
+}
+
+/**
+ * Records an outcome that arrives after the deadline. The attempt was the only
+ * open one, so a late answer replaces `unknown` for status questions.
+ */
+void order_table::Settle(entry& order, const order_result& body) {
+  if (body.outcome == run_state::unknown) return;
+  const bool ran = body.outcome == run_state::ran;
+  order.state = ran ? order_state::ran : order_state::not_run;
+  order.reason = ran ? refusal_reason{} : body.reason;
+  order.detail =
+      ran ? std::string{}
+          : RefusalDetail("the upstream did not run the order in time");
+  order.payload = ran ? body.payload : std::string{};
+}
+
+/** Opens a second attempt when the service has moved to another owner. */
+bool order_table::TryAgain(entry_table::iterator it, const ownership& owners,
+                           time_point now, effect_list& effects) {
+  entry& order = it->second;
+  if (stopped_ || order.attempt >= kMostAttempts) return false;
+  if (now >= order.expires) return false;
+  const auto owner = owners.OwnerOf(*order.ticket->service);
+  if (!owner || *owner == order.owner) return false;
+  SendAttempt(it->first, order, *owner, now, effects);
+  return true;
+}
+
+/** Records an outcome, then tells everyone who waits. */
+void order_table::Finish(entry_table::iterator it, order_state state,
+                         refusal_reason reason, std::string detail,
+                         time_point now, effect_list& effects) {
+  entry& order = it->second;
+  if (order.state == order_state::pending) {
+    deadlines_.erase({order.expires, it->first});
+    --pending_;
+  } else {
+    const auto unused = unused_.find(order.customer);
+    if (unused != unused_.end() && --unused->second == 0) unused_.erase(unused);
+  }
+  order.state = state;
+  order.reason = reason;
+  order.detail = std::move(detail);
+  if (state != order_state::ran) order.payload.clear();
+  order.expires = now + settings_.kept_for;
+  order.ticket.reset();
+  finished_.push_back(it->first);
+  if (state == order_state::ran) ++counters_.ran;
+  if (state == order_state::not_run) ++counters_.not_run;
+  if (state == order_state::unknown) ++counters_.unknown;
+  for (const waiter& who : std::exchange(order.waiters, {})) {
+    Reply(who, StatusOf(it->first, order), effects);
+  }
+}
+
+order_status order_table::StatusOf(std::uint64_t sequence,
+                                   const entry& order) const {
+  order_status status;
+  status.id = {self_, sequence};
+  status.state = order.state;
+  status.reason = order.reason;
+  status.detail = order.detail;
+  status.retry_after = order.retry_after;
+  status.revision = revision_;
+  if (order.state == order_state::ran) status.payload = order.payload;
+  return status;
+}
+
+order_status order_table::UnknownStatus(const order_id& id,
+                                        refusal_reason reason,
+                                        std::string detail) const {
+  order_status status;
+  status.id = id;
+  status.state = order_state::unknown;
+  status.reason = reason;
+  status.detail = std::move(detail);
+  status.revision = revision_;
+  return status;
+}
+
+/** What this home knows of an identifier. */
+order_status order_table::Look(const order_id& id) {
+  if (id.home != self_) {
+    return UnknownStatus(id, refusal_reason::home_lost,
+                         "the home of the order restarted; check with the "
+                         "upstream before ordering again");
+  }
+  const auto it = orders_.find(id.sequence);
+  if (it != orders_.end()) return StatusOf(id.sequence, it->second);
+  if (id.sequence == 0 || id.sequence >= next_sequence_) {
+    return NeverIssued(id);
+  }
+  return UnknownStatus(id, refusal_reason::outcome_unknown,
+                       "the order is no longer remembered and cannot run any "
+                       "more; check with the upstream");
+}
+
+/**
+ * Refuses a sequence that was never issued. It is never issued from now on,
+ * so `not_run` stays true.
+ */
+order_status order_table::NeverIssued(const order_id& id) {
+  const bool known = id.sequence == 0 || refused_ahead_.contains(id.sequence);
+  if (!known && refused_ahead_.size() >= kMostRefusedAhead) {
+    return UnknownStatus(id, refusal_reason::unknown_order,
+                         "the identifier was not issued here; obtain one from "
+                         "/v1/order-ids");
+  }
+  if (id.sequence != 0) refused_ahead_.insert(id.sequence);
+  order_status status = UnknownStatus(id, refusal_reason::unknown_order,
+                                      std::string(kNeverIssued));
+  status.state = order_state::not_run;
+  return status;
+}
+
+void order_table::Reply(const waiter& who, order_status status,
+                        effect_list& effects) const {
+  status.request_id = who.request_id;
+  if (!who.entry) {
+    effects.push_back(answer_order_effect{who.call, std::move(status)});
+    return;
+  }
+  effects.push_back(
+      send_peer_effect{who.entry->host, who.address, who.entry->incarnation,
+                       order_reply{who.forward, std::move(status)}});
+}
+
+void order_table::OnCallerGone(call_id call) {
+  for (const auto& [expires, sequence] : deadlines_) {
+    std::erase_if(orders_.at(sequence).waiters, [&](const waiter& who) {
+      return !who.entry && who.call == call;
+    });
+  }
+  std::erase_if(forwards_, [&](const auto& item) {
+    if (item.second.call != call) return false;
+    forward_deadlines_.erase({item.second.expires, item.first});
+    return true;
+  });
+}
+
+/** Ends pending orders at their deadline; their attempt may have run. */
+void order_table::ExpirePending(admission* load, time_point now,
+                                effect_list& effects) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const auto it = orders_.find(deadlines_.begin()->second);
+    const admission_ticket ticket = *it->second.ticket;
+    Finish(it, order_state::unknown, refusal_reason::outcome_unknown,
+           "no outcome before the deadline; ask for the status later", now,
+           effects);
+    if (load != nullptr) load->OnFinished(ticket, false, now);
+  }
+}
+
+void order_table::OnTick(admission& load, time_point now,
+                         effect_list& effects) {
+  ExpirePending(&load, now, effects);
+  ExpireForwards(now, effects);
+  DropExpired(now);
+}
+
+time_point order_table::NextWake() const {
+  time_point wake = kNever;
+  if (!deadlines_.empty()) wake = deadlines_.begin()->first;
+  if (!forward_deadlines_.empty()) {
+    wake = std::min(wake, forward_deadlines_.begin()->first);
+  }
+  for (const auto* queue : {&finished_, &issued_}) {
+    if (queue->empty()) continue;
+    const auto it = orders_.find(queue->front());
+    if (it != orders_.end()) wake = std::min(wake, it->second.expires);
+  }
+  return wake;
+}
+
+void order_table::OnClockGap(admission& load, time_point now,
+                             effect_list& effects) {
+  OnTick(load, now, effects);
+}
+
+void order_table::StopNow(time_point now, effect_list& effects) {
+  stopped_ = true;
+  while (!deadlines_.empty()) {
+    Finish(orders_.find(deadlines_.begin()->second), order_state::unknown,
+           refusal_reason::stopping,
+           "the host stopped before the outcome was known; check with the "
+           "upstream",
+           now, effects);
+  }
+  for (const auto& [id, copy] : std::exchange(forwards_, {})) {
+    AnswerForward(copy,
+                  UnknownStatus(copy.id, refusal_reason::stopping,
+                                "the host is stopping; ask another host for "
+                                "the status"),
+                  effects);
+  }
+  forward_deadlines_.clear();
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/query_gather.cpp
@@ -0,0 +1,502 @@
+/** @file query_gather.cpp Plans queries, gathers parts, decides when to answer.
+ */
+
+#include "core/query_gather.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "core/answer_policy.h"
+#include "core/coverage.h"
+
+namespace corianderrail {
+
+namespace {
+
+/// Parts that may be sent again per part planned: 5%.
+constexpr double kResendShare = 0.05;
+
+/// Largest number of parts saved up for the loss of an owner. A larger budget
+/// would let one loss double the load of the other owners for a moment.
+constexpr double kResendBurst = 1'000;
+
+/// Quantile learned as the usual time of a part.
+constexpr double kPartQuantile = 0.95;
+
+/// Relative step of the quantile estimate; follows a change of 10 times in
+/// about 50 late results.
+constexpr double kQuantileStep = 0.05;
+
+/// Where the quantile estimate starts once there is a first result.
+constexpr double kLeastPartUs = 100;
+
+}  // namespace
+
+query_gather::query_gather(host_ref self, std::uint64_t /*seed*/)
+    : self_(self) {}
+
+void query_gather::SetTopology(std::shared_ptr<const topology> value,
+                               time_point /*now*/) {
+  plans_.clear();
+  topology_ = std::move(value);
+}
+
+void query_gather::SetMembers(std::span<const member_record> members) {
+  plans_.clear();
+  members_.clear();
+  for (const member_record& member : members) {
+    members_[member.ref.host] = member;
+  }
+}
+
+std::string query_gather::AddressOf(host_id host) const {
+  const auto member = members_.find(host);
+  return member == members_.end() ? std::string{} : member->second.peer_address;
+}
+
+bool query_gather::IsLost(host_ref owner) const {
+  const auto member = members_.find(owner.host);
+  return member == members_.end() ||
+         member->second.state == member_state::gone ||
+         member->second.ref.incarnation != owner.incarnation;
+}
+
+std::optional<collection_id> query_gather::FindCollection(
+    std::string_view name) const {
+  if (!topology_) return std::nullopt;
+  for (std::size_t i = 0; i < topology_->collections.size(); ++i) {
+    if (topology_->collections[i].name == name) {
+      return static_cast<collection_id>(i);
+    }
+  }
+  return std::nullopt;
+}
+
+query_gather::plan query_gather::MakePlan(const partition_map& map,
+                                          const ownership& owners) const {
+  plan result;
+  result.map = &map;
+  result.keys = KeysIn(map);
+  std::unordered_map<host_id, std::size_t> batch_of;
+  for (std::size_t i = 0; i < map.partitions.size(); ++i) {
+    const service_id service = map.partitions[i].service;
+    const subquery_part part{static_cast<partition_id>(i), service};
+    const auto owner = owners.OwnerOf(service);
+    if (!owner) continue;
+    const auto [slot, fresh] =
+        batch_of.try_emplace(owner->host, result.batches.size());
+    if (fresh) result.batches.push_back({*owner, {}});
+    result.batches[slot->second].parts.push_back(part);
+  }
+  return result;
+}
+
+/** Plan over the newest complete map; made once per change of the owners. */
+const query_gather::plan* query_gather::PlanFor(collection_id collection,
+                                                const ownership& owners) {
+  const auto known = plans_.find(collection);
+  if (known != plans_.end()) return &known->second;
+  const auto& maps = topology_->collections[Raw(collection)].maps;
+  for (auto map = maps.rbegin(); map != maps.rend(); ++map) {
+    if (!IsComplete(*map)) continue;
+    return &plans_.emplace(collection, MakePlan(*map, owners)).first->second;
+  }
+  return nullptr;
+}
+
+void query_gather::Start(call_id call, const query_request& request,
+                         const admission_ticket& ticket,
+                         const ownership& owners, admission& load,
+                         time_point now, effect_list& effects) {
+  const auto collection = FindCollection(ticket.work->collection);
+  const plan* plan = collection ? PlanFor(*collection, owners) : nullptr;
+  if (plan == nullptr) {
+    effects.push_back(refuse_effect{
+        call,
+        {request.request_id, run_state::not_run, refusal_reason::no_topology,
+         "collection '" + ticket.work->collection +
+             "' has no complete partition map; publish one",
+         std::chrono::milliseconds(200), ticket.revision}});
+    load.OnFinished(ticket, false, now);
+    return;
+  }
+  ++counters_.admitted;
+  const auto id = static_cast<query_id>(next_query_++);
+  const auto it = queries_.emplace(id, open_query{}).first;
+  open_query& query = it->second;
+  query.call = call;
+  query.request_id = request.request_id;
+  query.payload = request.payload;
+  query.ticket = ticket;
+  query.collection = *collection;
+  query.started = now;
+  calls_[call] = id;
+  Send(id, query, *plan, now, effects);
+  Evaluate(it, nullptr, load, now, effects);
+}
+
+/** Sends one batch per owner of the plan. */
+void query_gather::Send(query_id id, open_query& query, const plan& plan,
+                        time_point now, effect_list& effects) {
+  const std::size_t count = plan.map->partitions.size();
+  gathering& pinned = query.pinned;
+  pinned.source = topology_;
+  pinned.map = plan.map;
+  pinned.keys = plan.keys;
+  pinned.open = static_cast<std::uint32_t>(count);
+  pinned.parts.assign(count, {});
+  pinned.payloads.resize(count);
+  query.planned = now;
+  query.asked.reserve(plan.batches.size());
+  for (const planned_batch& batch : plan.batches) {
+    const auto asked = static_cast<std::uint32_t>(query.asked.size());
+    query.asked.push_back(batch.owner);
+    for (const subquery_part& part : batch.parts) {
+      pinned.parts[Raw(part.partition)].asked = asked;
+    }
+    SendBatch(id, query, batch.owner, batch.parts, now, effects);
+  }
+  resend_tokens_ = std::min(
+      kResendBurst, resend_tokens_ + kResendShare * static_cast<double>(count));
+}
+
+void query_gather::SendBatch(query_id id, const open_query& query,
+                             host_ref owner, std::vector<subquery_part> parts,
+                             time_point now, effect_list& effects) {
+  subquery_batch batch;
+  batch.query = id;
+  batch.collection = query.collection;
+  batch.snapshot = query.pinned.map->snapshot;
+  batch.urgency = query.ticket.work->urgency;
+  batch.remaining = query.ticket.deadline - now;
+  batch.parts = std::move(parts);
+  batch.payload = query.payload;
+  effects.push_back(send_peer_effect{owner.host, AddressOf(owner.host),
+                                     owner.incarnation, std::move(batch)});
+}
+
+void query_gather::OnSubqueryResult(const peer_message& from,
+                                    const subquery_result& body,
+                                    admission& load, const ownership& owners,
+                                    time_point now, effect_list& effects) {
+  // The load signal is fresh whether or not the query still waits.
+  for (const part_result& part : body.parts) {
+    load.OnServiceWait(part.service, part.wait, now);
+  }
+  const auto it = queries_.find(body.query);
+  if (it == queries_.end()) {
+    counters_.stray += body.parts.size();
+    return;
+  }
+  open_query& query = it->second;
+  for (const part_result& part : body.parts) {
+    TakePart(query, from.from, part, body.snapshot);
+  }
+  LearnPartTime(now - query.planned);
+  Evaluate(it, &owners, load, now, effects);
+}
+
+/** Records one result, or counts it as stray when it matches no open part. */
+void query_gather::TakePart(open_query& query, host_ref from,
+                            const part_result& part, snapshot_id snapshot) {
+  gathering& pinned = query.pinned;
+  const std::size_t index = Raw(part.partition);
+  if (index >= pinned.parts.size()) {
+    ++counters_.stray;
+    return;
+  }
+  part_slot& slot = pinned.parts[index];
+  const auto is_sender = [&](std::uint32_t asked) {
+    return asked != kNobody && query.asked[asked] == from;
+  };
+  const bool matches =
+      slot.state == part_state::open &&
+      (is_sender(slot.asked) || is_sender(slot.asked_again)) &&
+      pinned.map->partitions[index].service == part.service &&
+      (part.status != part_status::ok || snapshot == pinned.map->snapshot);
+  if (!matches) {
+    ++counters_.stray;
+    return;
+  }
+  --pinned.open;
+  if (part.status == part_status::ok) {
+    slot.state = part_state::answered;
+    pinned.payloads[index] = part.payload;
+    pinned.answered_keys += KeysIn(pinned.map->partitions[index].range);
+    return;
+  }
+  slot.state = part_state::failed;
+  if (part.status == part_status::wrong_snapshot) {
+    ++query.wrong_snapshot;
+    query.newest = std::max(query.newest, part.newest);
+  }
+}
+
+/** Stochastic estimate of a quantile: constant memory, one step a result. */
+void query_gather::LearnPartTime(duration elapsed) {
+  const double sample =
+      std::max(kLeastPartUs, static_cast<double>(elapsed.count()));
+  if (typical_part_us_ == 0) {
+    typical_part_us_ = sample;
+  } else if (sample > typical_part_us_) {
+    typical_part_us_ *= 1 + kQuantileStep * kPartQuantile;
+  } else {
+    typical_part_us_ *= 1 - kQuantileStep * (1 - kPartQuantile);
+  }
+}
+
+/** Whether to plan the query once more, on a newer snapshot. */
+bool query_gather::MayReplan(const open_query& query, time_point now) const {
+  if (query.wrong_snapshot == 0 || query.former) return false;
+  if (Raw(query.collection) >= topology_->collections.size()) return false;
+  const auto needed = duration(static_cast<duration::rep>(typical_part_us_));
+  if (query.ticket.deadline - now < needed) return false;
+  const auto& maps = topology_->collections[Raw(query.collection)].maps;
+  return std::any_of(maps.begin(), maps.end(), [&](const partition_map& map) {
+    return map.snapshot > query.pinned.map->snapshot && IsComplete(map);
+  });
+}
+
+/**
+ * Whether a leaf named a newer snapshot that this host has no map of yet. The
+ * map usually arrives soon; half of the time is left for the new plan.
+ */
+bool query_gather::AwaitsTopology(const open_query& query,
+                                  time_point now) const {
+  return query.wrong_snapshot > 0 && !query.former &&
+         query.newest > query.pinned.map->snapshot &&
+         now - query.started < query.ticket.deadline - now;
+}
+
+/** Plans a query anew under a new identifier, so that no old part matches. */
+query_gather::query_table::iterator query_gather::Replan(
+    query_table::iterator it, const ownership& owners, time_point now,
+    effect_list& effects) {
+  Cancel(it->first, it->second, effects);
+  ++counters_.replanned;
+  wakes_.erase({it->second.wake, it->first});
+  auto node = queries_.extract(it);
+  const auto id = static_cast<query_id>(next_query_++);
+  node.key() = id;
+  const auto moved = queries_.insert(std::move(node)).position;
+  open_query& query = moved->second;
+  calls_[query.call] = id;
+  query.former = std::exchange(query.pinned, {});
+  query.asked.clear();
+  query.wrong_snapshot = 0;
+  query.wake = {};
+  Send(id, query, *PlanFor(query.collection, owners), now, effects);
+  return moved;
+}
+
+void query_gather::Evaluate(query_table::iterator it, const ownership* owners,
+                            admission& load, time_point now,
+                            effect_list& effects) {
+  if (owners != nullptr && MayReplan(it->second, now)) {
+    it = Replan(it, *owners, now, effects);
+  }
+  open_query& query = it->second;
+  if (query.pinned.open == 0 && !AwaitsTopology(query, now)) {
+    Answer(it, false, load, now, effects);
+    return;
+  }
+  const time_point wake = AnswerTime(query);
+  if (now >= wake) {
+    Answer(it, true, load, now, effects);
+    return;
+  }
+  SetWake(it->first, query, wake);
+}
+
+time_point query_gather::AnswerTime(const open_query& query) const {
+  answer_progress progress;
+  progress.deadline = query.ticket.deadline - query.started;
+  progress.target = query.ticket.work->latency_target;
+  progress.typical_part =
+      duration(static_cast<duration::rep>(typical_part_us_));
+  progress.coverage = ShareOf(query.pinned.answered_keys, query.pinned.keys);
+  progress.min_coverage = query.ticket.work->min_coverage;
+  time_point result =
+      query.started + PolicyFor(query.ticket.preference).AnswerAfter(progress);
+  if (query.pinned.open == 0) {
+    const duration half =
+        (query.ticket.deadline - query.started + duration(1)) / 2;
+    result = std::min(result, query.started + half);
+  }
+  return result;
+}
+
+void query_gather::SetWake(query_id id, open_query& query, time_point wake) {
+  if (query.wake == wake) return;
+  wakes_.erase({query.wake, id});
+  query.wake = wake;
+  wakes_.insert({wake, id});
+}
+
+void query_gather::Answer(query_table::iterator it, bool in_flight,
+                          admission& load, time_point now,
+                          effect_list& effects) {
+  open_query& query = it->second;
+  if (in_flight && now < query.ticket.deadline) {
+    Cancel(it->first, query, effects);
+  }
+  // One snapshot answers: the one that covers more.
+  gathering* best = &query.pinned;
+  if (query.former &&
+      ShareOf(query.former->answered_keys, query.former->keys) >
+          ShareOf(query.pinned.answered_keys, query.pinned.keys)) {
+    best = &*query.former;
+  }
+  std::vector<std::uint8_t> answered(best->parts.size());
+  query_answer answer;
+  for (std::size_t i = 0; i < best->parts.size(); ++i) {
+    if (best->parts[i].state != part_state::answered) continue;
+    answered[i] = 1;
+    answer.parts.push_back(
+        {best->map->partitions[i].range, std::move(best->payloads[i])});
+  }
+  coverage_result coverage = MeasureCoverage(*best->map, answered);
+  answer.request_id = std::move(query.request_id);
+  answer.snapshot = best->map->snapshot;
+  answer.coverage = coverage.share;
+  answer.missing = std::move(coverage.missing);
+  answer.revision = query.ticket.revision;
+  answer.elapsed = now - query.started;
+  if (answer.missing.empty()) {
+    answer.status = answer_status::complete;
+    ++counters_.complete;
+  } else if (answer.coverage >= query.ticket.work->min_coverage) {
+    answer.status = answer_status::partial;
+    ++counters_.partial;
+  } else {
+    answer.status = answer_status::incomplete;
+    ++counters_.incomplete;
+  }
+  const bool in_time = answer.status != answer_status::incomplete &&
+                       answer.elapsed <= query.ticket.work->latency_target;
+  load.OnFinished(query.ticket, in_time, now);
+  effects.push_back(answer_query_effect{query.call, std::move(answer)});
+  Forget(it);
+}
+
+/** Tells owners with open parts that nobody waits. */
+void query_gather::Cancel(query_id id, const open_query& query,
+                          effect_list& effects) const {
+  std::vector<std::uint8_t> waits(query.asked.size());
+  for (const part_slot& slot : query.pinned.parts) {
+    if (slot.state != part_state::open) continue;
+    if (slot.asked != kNobody) waits[slot.asked] = 1;
+    if (slot.asked_again != kNobody) waits[slot.asked_again] = 1;
+  }
+  for (std::size_t i = 0; i < waits.size(); ++i) {
+    if (waits[i] == 0) continue;
+    const host_ref owner = query.asked[i];
+    effects.push_back(send_peer_effect{owner.host, AddressOf(owner.host),
+                                       owner.incarnation, subquery_cancel{id}});
+  }
+}
+
+void query_gather::Forget(query_table::iterator it) {
+  wakes_.erase({it->second.wake, it->first});
+  calls_.erase(it->second.call);
+  queries_.erase(it);
+}
+
+void query_gather::OnOwnersChanged(const ownership& owners, admission& load,
+                                   time_point now, effect_list& effects) {
+  plans_.clear();
+  std::vector<query_id> open;
+  open.reserve(queries_.size());
+  for (const auto& [id, query] : queries_) open.push_back(id);
+  // Older queries first, in an order that does not depend on the hash.
+  std::sort(open.begin(), open.end());
+  for (const query_id id : open) {
+    const auto it = queries_.find(id);
+    Resend(id, it->second, owners, now, effects);
+    Evaluate(it, &owners, load, now, effects);
+  }
+}
+
+/** Whether an open part has to be sent to the present owner of its service. */
+bool query_gather::WantsOwner(const part_slot& slot,
+                              std::span<const std::uint8_t> lost) const {
+  if (slot.state != part_state::open) return false;
+  if (slot.asked == kNobody) return true;
+  if (slot.asked_again != kNobody || lost[slot.asked] == 0) return false;
+  return resend_tokens_ >= 1;
+}
+
+/**
+ * Sends parts that had no owner, and once more the missing parts of lost
+ * owners, the latter within the budget.
+ */
+void query_gather::Resend(query_id id, open_query& query,
+                          const ownership& owners, time_point now,
+                          effect_list& effects) {
+  std::vector<std::uint8_t> lost(query.asked.size());
+  for (std::size_t i = 0; i < lost.size(); ++i)
+    lost[i] = IsLost(query.asked[i]);
+  std::unordered_map<host_id, std::size_t> batch_of;
+  std::vector<planned_batch> batches;
+  gathering& pinned = query.pinned;
+  for (std::size_t i = 0; i < pinned.parts.size(); ++i) {
+    part_slot& slot = pinned.parts[i];
+    if (!WantsOwner(slot, lost)) continue;
+    const service_id service = pinned.map->partitions[i].service;
+    const auto owner = owners.OwnerOf(service);
+    if (!owner || IsLost(*owner)) continue;
+    const auto [batch, fresh] =
+        batch_of.try_emplace(owner->host, batches.size());
+    if (fresh) batches.push_back({*owner, {}});
+    batches[batch->second].parts.push_back(
+        {static_cast<partition_id>(i), service});
+    const auto position =
+        static_cast<std::uint32_t>(query.asked.size() + batch->second);
+    if (slot.asked == kNobody) {
+      slot.asked = position;
+      continue;
+    }
+    slot.asked_again = position;
+    resend_tokens_ -= 1;
+    ++counters_.resent;
+  }
+  for (planned_batch& batch : batches) {
+    query.asked.push_back(batch.owner);
+    SendBatch(id, query, batch.owner, std::move(batch.parts), now, effects);
+  }
+}
+
+void query_gather::OnCallerGone(call_id call, admission& load, time_point now,
+                                effect_list& effects) {
+  const auto known = calls_.find(call);
+  if (known == calls_.end()) return;
+  const auto it = queries_.find(known->second);
+  const open_query& query = it->second;
+  Cancel(it->first, query, effects);
+  // A caller that leaves early says nothing about the load.
+  const bool early = now - query.started <= query.ticket.work->latency_target;
+  load.OnFinished(query.ticket, early, now);
+  Forget(it);
+}
+
+void query_gather::OnTick(const ownership& owners, admission& load,
+                          time_point now, effect_list& effects) {
+  while (!wakes_.empty() && wakes_.begin()->first <= now) {
+    Evaluate(queries_.find(wakes_.begin()->second), &owners, load, now,
+             effects);
+  }
+}
+
+time_point query_gather::NextWake() const {
+  return wakes_.empty() ? kNever : wakes_.begin()->first;
+}
+
+void query_gather::OnClockGap(admission& load, time_point now,
+                              effect_list& effects) {
+  while (!wakes_.empty() && wakes_.begin()->first <= now) {
+    Evaluate(queries_.find(wakes_.begin()->second), nullptr, load, now,
+             effects);
+  }
+}
+
+}  // namespace corianderrail
--- a/packages/core/query_gather.h
+++ b/packages/core/query_gather.h
@@ -5,12 +5,20 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "core/admission.h"
 #include "core/contract_type.h"
 #include "core/effect_type.h"
 #include "core/event_type.h"
 #include "core/index_type.h"
+#include "core/member_type.h"
 #include "core/ownership.h"
 
 namespace corianderrail {
@@ -33,30 +41,132 @@
 
   void SetTopology(std::shared_ptr<const topology> value, time_point now);
 
+  /** Replaces the members: peer addresses, and which owners are gone. */
+  void SetMembers(std::span<const member_record> members);
+
   /** Re-sends parts whose owner is gone. */
-  void OnOwnersChanged(const ownership& owners, time_point now,
+  void OnOwnersChanged(const ownership& owners, admission& load, time_point now,
                        effect_list& effects);
 
-  /**
-   * Starts an admitted query; answers or refuses it in the end.
-   * @param work Contract of the kind of work.
-   * @param deadline Absolute deadline.
-   */
+  /** Starts an admitted query; answers or refuses it in the end. */
   void Start(call_id call, const query_request& request,
-             const work_contract& work, answer_preference preference,
-             revision_id revision, time_point deadline, const ownership& owners,
-             time_point now, effect_list& effects);
+             const admission_ticket& ticket, const ownership& owners,
+             admission& load, time_point now, effect_list& effects);
 
   void OnSubqueryResult(const peer_message& from, const subquery_result& body,
                         admission& load, const ownership& owners,
                         time_point now, effect_list& effects);
-  void OnCallerGone(call_id call, time_point now, effect_list& effects);
-  void OnTick(const ownership& owners, time_point now, effect_list& effects);
+  void OnCallerGone(call_id call, admission& load, time_point now,
+                    effect_list& effects);
+  void OnTick(const ownership& owners, admission& load, time_point now,
+              effect_list& effects);
   time_point NextWake() const;
-  void OnClockGap(time_point now, effect_list& effects);
 
-  bool Idle() const;
-  const query_counters& Counters() const;
+  /** Answers queries whose deadline passed while the process did not run. */
+  void OnClockGap(admission& load, time_point now, effect_list& effects);
+
+  bool Idle() const { return queries_.empty(); }
+  const query_counters& Counters() const { return counters_; }
+
+ private:
+  /** State of one part of a query. */
+  enum class part_state : std::uint8_t { open, answered, failed };
+
+  /// No position in open_query::asked.
+  static constexpr std::uint32_t kNobody = 0xFFFF'FFFF;
+
+  /** One part of a query. */
+  struct part_slot {
+    part_state state = part_state::open;  ///< Outcome.
+    std::uint32_t asked = kNobody;        ///< Owner first asked.
+    std::uint32_t asked_again = kNobody;  ///< Owner asked after a loss.
+  };
+
+  /** Parts of a plan that go to one owner. */
+  struct planned_batch {
+    host_ref owner;                    ///< Owner at planning.
+    std::vector<subquery_part> parts;  ///< Not empty.
+  };
+
+  /** Plan for one partition map under the present owners. */
+  struct plan {
+    const partition_map* map = nullptr;  ///< Planned snapshot.
+    std::uint64_t keys = 0;              ///< Size of its key space.
+    std::vector<planned_batch> batches;  ///< One for each owner.
+  };
+
+  /** What was gathered from one snapshot. */
+  struct gathering {
+    std::shared_ptr<const topology> source;  ///< Keeps `map` alive.
+    const partition_map* map = nullptr;      ///< Pinned snapshot.
+    std::uint64_t keys = 0;                  ///< Size of its key space.
+    std::uint64_t answered_keys = 0;         ///< Keys of answered parts.
+    std::uint32_t open = 0;                  ///< Parts still open.
+    std::vector<part_slot> parts;            ///< Indexed by partition_id.
+    std::vector<std::string> payloads;       ///< Indexed by partition_id.
+  };
+
+  /** One open query. */
+  struct open_query {
+    call_id call{};                    ///< Caller's call.
+    std::string request_id;            ///< Echo.
+    std::string payload;               ///< Query text, for later batches.
+    admission_ticket ticket;           ///< As admitted.
+    collection_id collection{};        ///< Collection queried.
+    time_point started{};              ///< Arrival.
+    time_point planned{};              ///< When the present plan was sent.
+    gathering pinned;                  ///< Present snapshot.
+    std::optional<gathering> former;   ///< Snapshot before a new plan.
+    std::vector<host_ref> asked;       ///< Owners and lives sent a batch.
+    std::uint32_t wrong_snapshot = 0;  ///< Parts that lack the snapshot.
+    snapshot_id newest{};              ///< Newest snapshot reported.
+    time_point wake{};                 ///< Entry in wakes_.
+  };
+
+  using query_table = std::unordered_map<query_id, open_query>;
+
+  std::optional<collection_id> FindCollection(std::string_view name) const;
+  const plan* PlanFor(collection_id collection, const ownership& owners);
+  plan MakePlan(const partition_map& map, const ownership& owners) const;
+  void Send(query_id id, open_query& query, const plan& plan, time_point now,
+            effect_list& effects);
+  void SendBatch(query_id id, const open_query& query, host_ref owner,
+                 std::vector<subquery_part> parts, time_point now,
+                 effect_list& effects);
+  void TakePart(open_query& query, host_ref from, const part_result& part,
+                snapshot_id snapshot);
+  bool MayReplan(const open_query& query, time_point now) const;
+  bool AwaitsTopology(const open_query& query, time_point now) const;
+  query_table::iterator Replan(query_table::iterator it,
+                               const ownership& owners, time_point now,
+                               effect_list& effects);
+  bool IsLost(host_ref owner) const;
+  bool WantsOwner(const part_slot& slot,
+                  std::span<const std::uint8_t> lost) const;
+  void Resend(query_id id, open_query& query, const ownership& owners,
+              time_point now, effect_list& effects);
+  void Evaluate(query_table::iterator it, const ownership* owners,
+                admission& load, time_point now, effect_list& effects);
+  time_point AnswerTime(const open_query& query) const;
+  void SetWake(query_id id, open_query& query, time_point wake);
+  void Answer(query_table::iterator it, bool in_flight, admission& load,
+              time_point now, effect_list& effects);
+  void Cancel(query_id id, const open_query& query, effect_list& effects) const;
+  void Forget(query_table::iterator it);
+  std::string AddressOf(host_id host) const;
+  void LearnPartTime(duration elapsed);
+
+  host_ref self_;
+  std::shared_ptr<const topology> topology_;
+  std::unordered_map<host_id, member_record> members_;
+  std::unordered_map<collection_id, plan> plans_;  ///< Under present owners.
+  query_table queries_;
+  std::unordered_map<call_id, query_id> calls_;
+  std::set<std::pair<time_point, query_id>> wakes_;
+  std::uint64_t next_query_ = 1;
+  double resend_tokens_ = 0;    ///< Parts that may be sent again.
+  double typical_part_us_ = 0;  ///< Learned 95th percentile of a part.
+  query_counters counters_;
 };
 
 }  // namespace corianderrail
