Model-check the order and contract protocols with spin

Cause: at-most-once orders and revisions that never revert are claims about all interleavings, which tests only sample. Change: docs/spec/order.pml and contract.pml with 13 mutants, checked exhaustively by scripts/check_spec.sh.

--- /dev/null
+++ b/docs/spec/contract.pml
@@ -0,0 +1,143 @@
+/* Contract spread: three hosts, a configuration service, four revisions.
+ *
+ * The service serves any revision published so far, because it may be stale.
+ * Revision 3 is published but invalid. Hosts exchange revisions pairwise; a
+ * message carries the sender's revision and may be old, because the sender's
+ * revision of any earlier moment of its life may arrive late. Hosts crash and
+ * come back with nothing.
+ *
+ * Checked: the revision in force never falls within a life; an invalid
+ * revision is never in force; a host admits nothing before it compared with a
+ * live peer (or found none) nor while it knows of a newer valid revision; and
+ * once faults stop, all hosts have the newest valid revision. Each MUTATE_ macro
+ * breaks one rule; scripts/check_spec.sh expects every mutant to fail.
+ */
+
+#define HOSTS 3
+#define NEWEST 4
+#define VALID(r) ((r) != 3)
+#define NEWEST_VALID(r) ((r) == 3 -> 2 : (r))
+
+byte published = 1;
+byte in_force[HOSTS];    /* revision in force, 0 for none */
+byte known[HOSTS];       /* highest valid revision heard of in this life */
+bool compared[HOSTS];    /* asked the peers since the start */
+byte crashes = 0;
+
+/* Takes a revision whose documents the host holds in full. */
+inline Take(h, r) {
+  before = in_force[h];
+  if
+#ifdef MUTATE_ACCEPT_INVALID
+  :: r > in_force[h] ->
+#else
+  :: r > in_force[h] && VALID(r) ->
+#endif
+    in_force[h] = r;
+    if
+    :: r > known[h] -> known[h] = r
+    :: else -> skip
+    fi
+#ifdef MUTATE_ACCEPT_OLDER
+  :: r > 0 && r < in_force[h] && VALID(r) -> in_force[h] = r
+#endif
+  :: else -> skip
+  fi;
+  assert(in_force[h] == 0 || VALID(in_force[h]));
+  assert(in_force[h] >= before)
+}
+
+/* The service answers host h with any revision published so far. */
+inline ReadService(h) {
+  select(r : 1 .. NEWEST);
+  if
+  :: r <= published -> Take(h, r)
+  :: else -> skip
+  fi
+}
+
+/* Host h gets a message that host p sent when it had revision r or less. */
+inline HearOf(h, p) {
+  select(r : 0 .. NEWEST);
+  if
+  :: r <= in_force[p] && VALID(r) && r > known[h] -> known[h] = r
+  :: else -> skip
+  fi
+}
+
+/* Host h gets the documents from p: the current set of p. */
+inline Fetch(h, p) {
+  if
+  :: in_force[p] > known[h] -> known[h] = in_force[p]
+  :: else -> skip
+  fi;
+  Take(h, in_force[p]);
+  compared[h] = true
+}
+
+#ifdef MUTATE_ADMIT_BEFORE_COMPARING
+#define COMPARED(h) true
+#else
+#define COMPARED(h) compared[h]
+#endif
+#ifdef MUTATE_ADMIT_WHILE_BEHIND
+#define UP_TO_DATE(h) true
+#else
+#define UP_TO_DATE(h) (known[h] <= in_force[h])
+#endif
+
+inline Admit(h) {
+  in_force[h] > 0 && COMPARED(h) && UP_TO_DATE(h);
+  assert(compared[h]);
+  assert(in_force[h] >= known[h])
+}
+
+inline Crash(h) {
+  crashes < 2;
+  crashes++;
+  in_force[h] = 0;
+  known[h] = 0;
+  compared[h] = false
+}
+
+/* Faults stop: one host reads the newest head, then all pairs exchange. */
+inline Settle() {
+  Take(0, published);
+#ifndef MUTATE_REFUSED_HEAD_BLOCKS
+  Take(0, NEWEST_VALID(published));
+#endif
+  Fetch(1, 0);
+#ifndef MUTATE_NO_FORWARDING
+  Fetch(2, 1);
+#endif
+  Fetch(0, 2);
+  Fetch(1, 2);
+  assert(in_force[0] == NEWEST_VALID(published));
+  assert(in_force[1] == NEWEST_VALID(published));
+  assert(in_force[2] == NEWEST_VALID(published))
+}
+
+active proctype World() {
+  byte r;
+  byte before; /* revision in force before Take, for its assertion */
+  do
+  :: atomic { published < NEWEST; published++ }
+  :: atomic { true; ReadService(0) }
+  :: atomic { true; ReadService(1) }
+  :: atomic { true; HearOf(0, 1) }
+  :: atomic { true; HearOf(1, 0) }
+  :: atomic { true; HearOf(2, 0) }
+  :: atomic { true; HearOf(2, 1) }
+  :: atomic { true; Fetch(0, 1) }
+  :: atomic { true; Fetch(1, 2) }
+  :: atomic { true; Fetch(2, 0) }
+  :: atomic { true; Fetch(2, 1) }
+  :: atomic { Admit(0) }
+  :: atomic { Admit(1) }
+  :: atomic { Admit(2) }
+  :: atomic { Crash(0) }
+  :: atomic { Crash(1) }
+  :: atomic { Crash(2) }
+  :: atomic { true; Settle() } -> break
+  od
+}
--- /dev/null
+++ b/docs/spec/order.pml
@@ -0,0 +1,235 @@
+/* Order protocol: one order, its home, two owners and their leafs.
+ *
+ * A message between hosts that was sent stays available for ever and may be
+ * delivered any number of times, in any order, or never. This covers loss,
+ * delay, duplication and reordering. A request to a leaf travels on one TCP
+ * connection, so it is delivered at most once, or lost with the connection.
+ * The home and each owner may crash once; the next incarnation starts with an
+ * empty table.
+ *
+ * Checked: the order runs at most once, and it never runs when a caller was
+ * told not_run, before or after. Each MUTATE_ macro breaks one rule;
+ * scripts/check_spec.sh expects every mutant to fail.
+ */
+
+mtype = { none, issued, pending, ran, not_run, unknown };
+
+#define OWNERS 2
+#define LIVES 2
+#define SLOT(owner, life) ((owner) * LIVES + (life))
+
+byte runs = 0;              /* times that a leaf ran the order */
+bool told_not_run = false;  /* some caller was told not_run */
+
+byte home_life = 0;         /* the identifier was issued by life 0 */
+mtype home_state = issued;  /* table entry of life 0 */
+byte attempt = 0;           /* number of the current attempt, from 1 */
+byte attempt_slot = 0;      /* owner and life of the current attempt */
+
+byte owner_life[OWNERS];    /* current life of each owner */
+mtype owner_state[OWNERS];  /* attempt log of the current life */
+
+bool attempt_sent[4];       /* attempt sent to owner and life */
+bool result_ran[4];         /* results sent by owner and life */
+bool result_not_run[4];
+bool result_unknown[4];
+bool leaf_request[4];       /* request on the connection to a leaf */
+byte leaf_tries[4];         /* requests sent by owner and life */
+
+#define CHECK assert(runs <= 1); assert(!(told_not_run && runs > 0))
+
+inline TellNotRun() {
+  told_not_run = true;
+  CHECK
+}
+
+inline SendAttempt(owner, life) {
+  attempt++;
+  attempt_slot = SLOT(owner, life);
+  attempt_sent[attempt_slot] = true;
+}
+
+/* A copy of the order reaches its home; copies are unlimited. */
+inline CopyArrives() {
+  if
+  :: home_life == 0 ->
+    if
+    :: home_state == issued ->
+      if
+      :: atomic { /* refused by contract or load */
+#ifndef MUTATE_REFUSE_WITHOUT_RECORD
+           home_state = not_run;
+#endif
+           TellNotRun()
+         }
+      :: atomic { home_state = pending; SendAttempt(0, owner_life[0]) }
+      :: atomic { /* the view of the owner's life may be out of date */
+           home_state = pending; SendAttempt(1, 0)
+         }
+      fi
+    :: home_state == not_run -> TellNotRun()
+    :: else -> skip /* told pending, ran or unknown */
+    fi
+  :: else ->
+#if defined(MUTATE_NEW_LIFE_RUNS)
+    /* a new life accepts identifiers of the former one */
+    if
+    :: attempt < 2 -> SendAttempt(1, owner_life[1])
+    :: else -> skip
+    fi
+#elif defined(MUTATE_HOME_GONE_IS_NOT_RUN)
+    TellNotRun()
+#else
+    skip /* told unknown */
+#endif
+  fi
+}
+
+/* The home waits no longer for the owner. */
+inline HomeTimesOut() {
+  home_life == 0 && home_state == pending;
+#ifdef MUTATE_RETRY_ON_TIMEOUT
+  if
+  :: attempt < 2 -> SendAttempt(1, owner_life[1])
+  :: else -> home_state = unknown
+  fi
+#else
+  home_state = unknown
+#endif
+}
+
+inline ResultArrives(slot) {
+  if
+  :: result_ran[slot] && home_life == 0 -> home_state = ran
+  :: result_not_run[slot] && home_life == 0 && slot == attempt_slot &&
+       (home_state == pending || home_state == unknown) ->
+    if
+    :: home_state == pending && attempt < 2 ->
+         SendAttempt(1 - slot / LIVES, owner_life[1 - slot / LIVES])
+    :: atomic { home_state = not_run; TellNotRun() }
+    fi
+  :: result_unknown[slot] && home_life == 0 && home_state == pending ->
+       home_state = unknown
+  :: else -> skip
+  fi
+}
+
+inline SendToLeaf(owner, slot) {
+  owner_state[owner] = pending;
+  leaf_tries[slot]++;
+  leaf_request[slot] = true
+}
+
+inline AttemptArrives(owner, life) {
+  attempt_sent[SLOT(owner, life)];
+  if
+#ifdef MUTATE_ANY_LIFE_ACCEPTS
+  :: true ->
+#else
+  :: owner_life[owner] == life ->
+#endif
+    if
+#ifdef MUTATE_NO_ATTEMPT_LOG
+    :: leaf_tries[SLOT(owner, life)] < 2 ->
+         SendToLeaf(owner, SLOT(owner, life))
+#endif
+    :: owner_state[owner] == none ->
+      if
+      :: atomic { /* its time ran out in the queue */
+           owner_state[owner] = not_run;
+           result_not_run[SLOT(owner, life)] = true
+         }
+      :: SendToLeaf(owner, SLOT(owner, life))
+      fi
+    :: owner_state[owner] == not_run ->
+         result_not_run[SLOT(owner, life)] = true
+    :: owner_state[owner] == ran -> result_ran[SLOT(owner, life)] = true
+    :: else -> skip
+    fi
+  :: else -> skip
+  fi
+}
+
+/* The leaf takes the request, or the connection breaks around it. */
+inline LeafActs(owner, life) {
+  leaf_request[SLOT(owner, life)];
+  leaf_request[SLOT(owner, life)] = false;
+  if
+  :: atomic { /* ran, and the reply arrives if the owner still lives */
+       runs++; CHECK;
+       if
+       :: owner_life[owner] == life ->
+            owner_state[owner] = ran; result_ran[SLOT(owner, life)] = true
+       :: else -> skip
+       fi
+     }
+  :: atomic { /* ran, and the connection breaks */
+       runs++; CHECK;
+       OwnerSeesBreak(owner, life)
+     }
+  :: atomic { /* lost on the way, the connection breaks */
+       true;
+       OwnerSeesBreak(owner, life)
+     }
+  :: atomic { /* the leaf says that it did not run */
+       true;
+       if
+       :: owner_life[owner] == life ->
+         if
+         :: leaf_tries[SLOT(owner, life)] < 2 ->
+              SendToLeaf(owner, SLOT(owner, life))
+         :: owner_state[owner] = not_run;
+              result_not_run[SLOT(owner, life)] = true
+         fi
+       :: else -> skip
+       fi
+     }
+  fi
+}
+
+inline OwnerSeesBreak(owner, life) {
+  if
+  :: owner_life[owner] == life ->
+#ifdef MUTATE_BREAK_IS_NOT_RUN
+    owner_state[owner] = not_run;
+    result_not_run[SLOT(owner, life)] = true
+#else
+    owner_state[owner] = unknown;
+    result_unknown[SLOT(owner, life)] = true
+#endif
+  :: else -> skip
+  fi
+}
+
+inline OwnerCrashes(owner) {
+  owner_life[owner] == 0;
+  owner_life[owner] = 1;
+  owner_state[owner] = none
+}
+
+active proctype World() {
+  byte i;
+  for (i : 0 .. OWNERS - 1) {
+    owner_state[i] = none;
+  }
+end:
+  do
+  :: atomic { true; CopyArrives() }
+  :: atomic { HomeTimesOut() }
+  :: atomic { home_life == 0; home_life = 1 }
+  :: atomic { true; ResultArrives(0) }
+  :: atomic { true; ResultArrives(1) }
+  :: atomic { true; ResultArrives(2) }
+  :: atomic { true; ResultArrives(3) }
+  :: atomic { AttemptArrives(0, 0) }
+  :: atomic { AttemptArrives(0, 1) }
+  :: atomic { AttemptArrives(1, 0) }
+  :: atomic { AttemptArrives(1, 1) }
+  :: atomic { LeafActs(0, 0) }
+  :: atomic { LeafActs(0, 1) }
+  :: atomic { LeafActs(1, 0) }
+  :: atomic { LeafActs(1, 1) }
+  :: atomic { OwnerCrashes(0) }
+  :: atomic { OwnerCrashes(1) }
+  od
+}
