--- a/packages/core/contract_spread.h
+++ b/packages/core/contract_spread.h
@@ -30,7 +30,8 @@
  */
 class contract_spread {
  public:
-  contract_spread(contract_validator contracts, topology_validator topologies);
+  contract_spread(contract_validator contracts, topology_validator topologies,
+                  head_parser heads);
 
   /** A value read by config_reader. */
   void OnConfigValue(const config_value_event& value, time_point now,
--- a/packages/core/contract_type.h
+++ b/packages/core/contract_type.h
@@ -98,8 +98,19 @@
   contract_fault fault = contract_fault::none;  ///< `none` when accepted.
   std::string reason;                           ///< Same text on every host.
   std::shared_ptr<const contract_set> set;      ///< Null when refused.
+  std::vector<std::string> missing_keys;        ///< Keys of missing documents.
 };
 
+/** Result of parsing `contracts/head`. */
+struct head_verdict {
+  contract_fault fault = contract_fault::none;  ///< `none` when accepted.
+  std::string reason;                           ///< Same text on every host.
+  revision_id revision{};                       ///< Revision named by it.
+};
+
+/** Parses `contracts/head`; a pure function of the bytes. */
+using head_parser = std::function<head_verdict(const std::string&)>;
+
 /**
  * Validates the documents of a revision: the set document and each contract
  * that it lists. A pure function of the bytes, so that all hosts agree.
--- a/packages/core/host_reducer.cpp
+++ b/packages/core/host_reducer.cpp
@@ -37,7 +37,7 @@
       : settings(std::move(given)),
         self(settings.self.ref),
         members(settings.self, settings.member, settings.seed),
-        contracts(settings.contracts, settings.topologies),
+        contracts(settings.contracts, settings.topologies, settings.heads),
         reader(settings.self, settings.reader, settings.seed + 1),
         shares(settings.self, settings.share, settings.started),
         owners(settings.owner_block),
--- a/packages/core/host_reducer.h
+++ b/packages/core/host_reducer.h
@@ -37,6 +37,7 @@
   lifecycle_settings life;        ///< Phases.
   contract_validator contracts;   ///< Validates contract documents.
   topology_validator topologies;  ///< Validates topology documents.
+  head_parser heads;              ///< Parses the head document.
 };
 
 /** State of a host as operators see it. */
