Add ownership, address book and lifecycle

The topics were declared only. Ownership applies the difference between two member lists, so that one change does not weigh all members again; the address book ranks by zone, region and weighted rendezvous; the lifecycle restarts from starting after a clock gap.

--- /dev/null
+++ b/packages/core/address_book.cpp
@@ -0,0 +1,97 @@
+/** @file address_book.cpp Choice of entry addresses for a caller. */
+
+#include "core/address_book.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+#include "core/stable_hash.h"
+
+namespace corianderrail {
+
+namespace {
+
+/** A member that may be named, with its rank for this caller. */
+struct scored_member {
+  const member_record* member = nullptr;  ///< The member.
+  int distance = 0;  ///< 0 same zone, 1 same region, 2 other.
+  double score = 0;  ///< Weighted rendezvous score; larger is better.
+};
+
+/** Weighted rendezvous: chosen in proportion to the capacity. */
+double WeightedScore(std::uint64_t key, const member_record& member) {
+  const std::uint64_t hash = RendezvousWeight(key, Raw(member.ref.host));
+  const double unit = (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
+  const double capacity = member.capacity == 0 ? 1.0 : member.capacity;
+  return -capacity / std::log(unit);
+}
+
+std::string RegionOf(std::span<const member_record> members,
+                     std::string_view zone) {
+  for (const member_record& member : members) {
+    if (member.zone == zone) return member.region;
+  }
+  return {};
+}
+
+std::vector<scored_member> Score(std::span<const member_record> members,
+                                 std::string_view customer,
+                                 std::string_view zone, member_state state) {
+  const std::string region = RegionOf(members, zone);
+  const std::uint64_t key = HashBytes(customer);
+  std::vector<scored_member> scored;
+  for (const member_record& member : members) {
+    if (member.state != state || !member.ready) continue;
+    if (member.caller_address.empty()) continue;
+    int distance = 2;
+    if (!region.empty() && member.region == region) distance = 1;
+    if (member.zone == zone) distance = 0;
+    scored.push_back({&member, distance, WeightedScore(key, member)});
+  }
+  std::sort(scored.begin(), scored.end(),
+            [](const scored_member& a, const scored_member& b) {
+              if (a.distance != b.distance) return a.distance < b.distance;
+              if (a.score != b.score) return a.score > b.score;
+              return a.member->ref.host < b.member->ref.host;
+            });
+  return scored;
+}
+
+/**
+ * Puts a member of another zone last when all chosen ones share a zone. A
+ * caller that knows one zone only could not ask anybody when that zone fails.
+ */
+void SpreadOverZones(std::vector<scored_member>& scored, std::size_t count) {
+  if (count < 2 || scored.size() <= count) return;
+  const std::string& zone = scored.front().member->zone;
+  const auto other = std::find_if(
+      scored.begin(), scored.end(),
+      [&](const scored_member& one) { return one.member->zone != zone; });
+  if (other == scored.end()) return;
+  const auto last = scored.begin() + static_cast<std::ptrdiff_t>(count) - 1;
+  if (other > last) std::iter_swap(other, last);
+}
+
+}  // namespace
+
+std::vector<entry_address> ChooseAddresses(
+    std::span<const member_record> members, std::string_view customer,
+    std::string_view zone, const address_settings& settings) {
+  auto scored = Score(members, customer, zone, member_state::alive);
+  // A suspect may still serve; it is better than no answer.
+  if (scored.empty()) {
+    scored = Score(members, customer, zone, member_state::suspect);
+  }
+  const std::size_t count =
+      std::min<std::size_t>(scored.size(), settings.addresses);
+  SpreadOverZones(scored, count);
+  std::vector<entry_address> result;
+  for (std::size_t i = 0; i < count; ++i) {
+    const member_record& member = *scored[i].member;
+    result.push_back({member.caller_address, member.zone});
+  }
+  return result;
+}
+
+}  // namespace corianderrail
--- a/packages/core/lifecycle.h
+++ b/packages/core/lifecycle.h
@@ -35,7 +35,11 @@
   /** @return True when the clock jumped by more than the gap. */
   bool ObserveClock(time_point now);
 
-  /** Moves between phases. @return True when the phase changed. */
+  /**
+   * Moves between phases. A host whose clock jumped, or that cannot read the
+   * newest format, starts again from `starting`.
+   * @return True when the phase differs from that of the call before.
+   */
   bool Update(const lifecycle_inputs& inputs, time_point now,
               effect_list& effects);
 
@@ -48,6 +52,18 @@
   bool StopAtOnce() const;
   host_phase Phase() const;
   time_point NextWake() const;
+
+ private:
+  bool DrainEnded(const lifecycle_inputs& inputs, time_point now) const;
+
+  lifecycle_settings settings_;
+  host_phase phase_ = host_phase::starting;
+  host_phase reported_ = host_phase::starting;
+  time_point last_observed_;
+  time_point stop_requested_ = kNever;
+  time_point stop_now_ = kNever;
+  bool served_ = false;        ///< It was ready, so answers may name it.
+  bool serving_ends_ = false;  ///< The last answer that names it expired.
 };
 
 }  // namespace corianderrail
--- a/packages/core/ownership.h
+++ b/packages/core/ownership.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -16,7 +18,8 @@
 /**
  * Chooses the owner of a service by rendezvous hashing over the candidates:
  * members that are alive and ready in the service's zone if there are any,
- * else in its region, else anywhere.
+ * else in its region, else anywhere. The region of a zone is taken from the
+ * members of that zone.
  */
 class ownership {
  public:
@@ -35,13 +38,41 @@
   /** Services owned by a host, in order. */
   std::vector<service_id> OwnedBy(host_id host) const;
 
+  /** Weights computed since construction; a measure of the work done. */
+  std::uint64_t WeightsComputed() const { return weights_computed_; }
+
  private:
-  void Recompute();
+  /** A member that may own services. */
+  struct candidate {
+    host_ref ref;              ///< Host and life.
+    std::uint32_t zone = 0;    ///< Index of its zone's name.
+    std::uint32_t region = 0;  ///< Index of its region's name.
+    bool operator==(const candidate&) const = default;
+  };
+
+  /** Services that share an owner. */
+  struct block {
+    std::uint64_t key = 0;          ///< Hash of collection and block index.
+    std::uint32_t zone = 0;         ///< Zone of its first service.
+    std::uint32_t region = 0;       ///< Region of that zone; 0 when unknown.
+    std::optional<host_ref> owner;  ///< Best candidate.
+    std::uint32_t tier = 0;         ///< 0 same zone, 1 same region, 2 other.
+    std::uint64_t weight = 0;       ///< Weight of the owner.
+  };
+
+  std::uint32_t NameIndex(const std::string& name);
+  std::vector<candidate> CandidatesOf(std::span<const member_record> members);
+  bool UpdateRegions(std::span<const member_record> members);
+  void Offer(block& target, const candidate& offered);
+  void Recompute(block& target);
 
   std::uint32_t block_size_;
-  std::vector<member_record> members_;
-  std::vector<service_info> services_;
-  std::vector<std::optional<host_ref>> owners_;
+  std::map<std::string, std::uint32_t> names_;  ///< Zone and region names.
+  std::map<std::uint32_t, std::uint32_t> region_of_zone_;
+  std::vector<candidate> candidates_;  ///< Sorted by host.
+  std::vector<block> blocks_;
+  std::vector<std::uint32_t> block_of_;  ///< Block of each service.
+  std::uint64_t weights_computed_ = 0;
 };
 
 }  // namespace corianderrail
