Add contract_spread and config_reader

Both topics were declared only. config_reader watches the head and the topology on the hosts of a zone with the highest rendezvous weight. contract_spread collects documents from the service or a delta from a peer, validates them and only raises the revision. Refusals are sent on so that every audit trail has them.

--- /dev/null
+++ b/packages/core/config_reader.cpp
@@ -0,0 +1,195 @@
+/** @file config_reader.cpp Reads of the platform by a few hosts per zone. */
+
+#include "core/config_reader.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/stable_hash.h"
+
+namespace corianderrail {
+
+namespace {
+
+// An answer that takes this much longer than its wait is taken for lost.
+constexpr duration kAnswerGrace = std::chrono::seconds(5);
+
+// Least time between two calls for one key, also when the service answers
+// watches at once. It bounds the calls per second.
+constexpr duration kLeastPeriod = std::chrono::milliseconds(500);
+
+}  // namespace
+
+config_reader::config_reader(member_record self,
+                             config_reader_settings settings,
+                             std::uint64_t seed)
+    : self_(self.ref),
+      zone_(std::move(self.zone)),
+      settings_(settings),
+      random_(seed) {
+  watches_[0].key = "contracts/head";
+  watches_[1].key = "topology";
+}
+
+void config_reader::SetMembers(std::span<const member_record> members,
+                               time_point now, effect_list& effects) {
+  std::vector<std::pair<std::uint64_t, host_id>> weights;
+  bool peer_known = false;
+  const std::uint64_t key = HashBytes(zone_);
+  for (const member_record& member : members) {
+    const bool running = member.state == member_state::alive ||
+                         member.state == member_state::suspect;
+    if (!running) continue;
+    if (member.ref.host != self_.host) peer_known = true;
+    if (member.zone != zone_) continue;
+    weights.emplace_back(RendezvousWeight(key, Raw(member.ref.host)),
+                         member.ref.host);
+  }
+  std::sort(weights.rbegin(), weights.rend());
+  const std::size_t count =
+      std::min<std::size_t>(weights.size(), settings_.readers_per_zone);
+  const auto end = weights.begin() + static_cast<std::ptrdiff_t>(count);
+  reader_ = std::any_of(weights.begin(), end, [this](const auto& one) {
+    return one.second == self_.host;
+  });
+  zone_readers_ = static_cast<std::uint32_t>(std::max<std::size_t>(count, 1));
+  peer_known_ = peer_known;
+  if (started_) OnTick(now, effects);
+}
+
+/** Readers always; others once, when no peer answered. */
+bool config_reader::MayRead(const key_watch& watch) const {
+  if (peer_known_) return reader_;
+  return reader_ || !watch.answered;
+}
+
+duration config_reader::Backoff(std::uint32_t failures) {
+  duration delay = settings_.retry_min;
+  for (std::uint32_t i = 1; i < failures && delay < settings_.retry_max; ++i) {
+    delay *= 2;
+  }
+  delay = std::min(delay, settings_.retry_max);
+  // Jitter keeps the readers from calling a returning service all at once.
+  const double factor = 0.75 + 0.5 * random_.Unit();
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(delay.count()) * factor));
+}
+
+/** The readers of a zone share one period, so that calls grow with zones. */
+duration config_reader::HostListDelay() {
+  const double factor = (0.75 + 0.5 * random_.Unit()) * zone_readers_;
+  return duration(static_cast<duration::rep>(
+      static_cast<double>(settings_.host_list_period.count()) * factor));
+}
+
+void config_reader::Read(key_watch& watch, time_point now,
+                         effect_list& effects) {
+  watch.open = true;
+  watch.sent = now;
+  // Only the first read returns at once.
+  const bool watching = watch.version != 0;
+  watch.wait = watching ? settings_.watch_wait : duration{};
+  effects.push_back(read_config_effect{
+      std::string(watch.key), watching ? watch.version : 0, watch.wait});
+}
+
+void config_reader::OnConfigValue(const config_value_event& value,
+                                  time_point now, effect_list& effects) {
+  const auto found =
+      std::find_if(watches_.begin(), watches_.end(),
+                   [&](const key_watch& one) { return one.key == value.key; });
+  if (found == watches_.end()) return;
+  key_watch& watch = *found;
+  const bool was_open = std::exchange(watch.open, false);
+  watch.answered = true;
+  if (!value.reachable || !value.found) {
+    ++watch.failures;
+    watch.next = now + Backoff(watch.failures);
+    return;
+  }
+  const bool newer = value.version > watch.version;
+  // A service that answers a watch early without news, as one that serves old
+  // versions does, is asked at the pace of failures.
+  const bool early = was_open && now - watch.sent < watch.wait / 2;
+  const bool stuck = !newer && (early || value.version < watch.version);
+  watch.failures = stuck ? watch.failures + 1 : 0;
+  watch.version = std::max(watch.version, value.version);
+  watch.next = stuck ? now + Backoff(watch.failures)
+                     : std::max(now, watch.sent + kLeastPeriod);
+  if (started_) OnTick(now, effects);
+}
+
+void config_reader::OnHostList(const host_list_event& /*list*/, time_point now,
+                               effect_list& /*effects*/) {
+  list_open_ = false;
+  next_list_ = now + HostListDelay();
+}
+
+void config_reader::OnTick(time_point now, effect_list& effects) {
+  if (!started_) {
+    started_ = true;
+    next_list_ = now + HostListDelay();
+    list_open_ = true;
+    list_sent_ = now;
+    solo_read_ = now + settings_.peer_grace;
+    effects.push_back(read_host_list_effect{});
+  }
+  for (key_watch& watch : watches_) {
+    if (watch.open && now >= watch.sent + watch.wait + kAnswerGrace) {
+      watch.open = false;
+      watch.answered = true;
+      ++watch.failures;
+      watch.next = now + Backoff(watch.failures);
+    }
+    if (watch.open || now < watch.next || !MayRead(watch)) continue;
+    if (!peer_known_ && now < solo_read_) continue;
+    Read(watch, now, effects);
+  }
+  if (list_open_ && now >= list_sent_ + kAnswerGrace) list_open_ = false;
+  if (!reader_ || list_open_ || now < next_list_) return;
+  list_open_ = true;
+  list_sent_ = now;
+  next_list_ = now + HostListDelay();
+  effects.push_back(read_host_list_effect{});
+}
+
+time_point config_reader::NextWake() const {
+  if (!started_) return time_point{};
+  time_point wake = kNever;
+  for (const key_watch& watch : watches_) {
+    if (watch.open) {
+      wake = std::min(wake, watch.sent + watch.wait + kAnswerGrace);
+    } else if (MayRead(watch)) {
+      const time_point solo = peer_known_ ? time_point{} : solo_read_;
+      wake = std::min(wake, std::max(watch.next, solo));
+    }
+  }
+  if (list_open_) return std::min(wake, list_sent_ + kAnswerGrace);
+  return reader_ ? std::min(wake, next_list_) : wake;
+}
+
+/** Answers to calls made before the gap may be outdated or lost. */
+void config_reader::OnClockGap(time_point now, effect_list& effects) {
+  for (key_watch& watch : watches_) {
+    watch.open = false;
+    watch.answered = false;
+    watch.failures = 0;
+    watch.version = 0;
+    watch.next = now;
+  }
+  list_open_ = false;
+  peer_known_ = false;
+  solo_read_ = now + settings_.peer_grace;
+  OnTick(now, effects);
+}
+
+bool config_reader::IsReader() const { return started_ && reader_; }
+
+bool config_reader::FirstReadDone() const {
+  if (peer_known_) return true;
+  return std::all_of(watches_.begin(), watches_.end(),
+                     [](const key_watch& one) { return one.answered; });
+}
+
+}  // namespace corianderrail
--- a/packages/core/config_reader.h
+++ b/packages/core/config_reader.h
@@ -2,11 +2,15 @@
 
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <span>
+#include <string_view>
 
 #include "core/effect_type.h"
 #include "core/event_type.h"
 #include "core/member_type.h"
+#include "core/random.h"
 
 namespace corianderrail {
 
@@ -15,8 +19,9 @@
   std::uint32_t readers_per_zone = 2;                    ///< Watching hosts.
   duration watch_wait = std::chrono::seconds(20);        ///< Longest watch.
   duration retry_min = std::chrono::milliseconds(500);   ///< After failure.
-  duration retry_max = std::chrono::seconds(10);         ///< Backoff limit.
-  duration host_list_period = std::chrono::seconds(10);  ///< Between reads.
+  duration retry_max = std::chrono::seconds(20);         ///< Backoff limit.
+  duration host_list_period = std::chrono::seconds(15);  ///< Per zone.
+  duration peer_grace = std::chrono::seconds(1);  ///< For a peer to answer.
 };
 
 /**
@@ -43,6 +48,38 @@
 
   /** True once each key was read or found unreachable. */
   bool FirstReadDone() const;
+
+ private:
+  /** Schedule of one key. */
+  struct key_watch {
+    std::string_view key;        ///< Key in the configuration service.
+    std::uint64_t version = 0;   ///< Newest version read.
+    bool open = false;           ///< A call waits for its answer.
+    bool answered = false;       ///< Read or unreachable since the start.
+    time_point sent{};           ///< When the call was made.
+    duration wait{};             ///< How long the call may wait.
+    time_point next{};           ///< Earliest next call.
+    std::uint32_t failures = 0;  ///< In a row.
+  };
+
+  bool MayRead(const key_watch& watch) const;
+  void Read(key_watch& watch, time_point now, effect_list& effects);
+  duration Backoff(std::uint32_t failures);
+  duration HostListDelay();
+
+  host_ref self_;
+  std::string zone_;
+  config_reader_settings settings_;
+  random_source random_;
+  std::array<key_watch, 2> watches_;
+  bool started_ = false;
+  bool reader_ = true;
+  bool peer_known_ = false;
+  std::uint32_t zone_readers_ = 1;
+  time_point solo_read_ = kNever;  ///< First own read if no peer answers.
+  time_point next_list_{};
+  bool list_open_ = false;
+  time_point list_sent_{};
 };
 
 }  // namespace corianderrail
--- a/packages/core/contract_spread.h
+++ b/packages/core/contract_spread.h
@@ -4,13 +4,21 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
+#include <span>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
+#include "core/contract_fetch.h"
 #include "core/contract_type.h"
 #include "core/effect_type.h"
 #include "core/event_type.h"
 #include "core/index_type.h"
+#include "core/peer_revisions.h"
 
 namespace corianderrail {
 
@@ -33,7 +41,7 @@
   contract_spread(contract_validator contracts, topology_validator topologies,
                   head_parser heads);
 
-  /** A value read by config_reader. */
+  /** A value read by config_reader, or a document asked for here. */
   void OnConfigValue(const config_value_event& value, time_point now,
                      effect_list& effects);
 
@@ -51,8 +59,8 @@
   void OnClockGap(time_point now, effect_list& effects);
 
   /** Set in force; null before the first. */
-  std::shared_ptr<const contract_set> InForce() const;
-  std::shared_ptr<const topology> Topology() const;
+  std::shared_ptr<const contract_set> InForce() const { return in_force_; }
+  std::shared_ptr<const topology> Topology() const { return topology_; }
 
   /** True while a peer showed a higher revision that is not in force here. */
   bool Behind() const;
@@ -61,7 +69,66 @@
   bool FormatTooOld() const;
 
   /** Rises whenever InForce() or Topology() changes. */
-  std::uint64_t Generation() const;
+  std::uint64_t Generation() const { return generation_; }
+
+ private:
+  using document_list = std::vector<contract_document>;
+
+  /** Something refused that other hosts are told of. */
+  struct refusal_news {
+    std::uint64_t digest = 0;  ///< Hash of the refused bytes.
+    peer_body body;            ///< Message that carries the bytes.
+    std::set<host_id> told;    ///< Hosts that know it.
+  };
+
+  revision_id Revision() const;
+  std::uint64_t Digest() const;
+  void OnHead(const std::string& bytes, const std::string& source,
+              time_point now, effect_list& effects);
+  void OnTopologyValue(const std::string& bytes, const std::string& source,
+                       time_point now, effect_list& effects);
+  void TryCandidate(time_point now, effect_list& effects);
+  contract_verdict Validate(
+      document_list& documents,
+      std::span<const std::shared_ptr<const contract_set>> held) const;
+  void Accept(const contract_verdict& verdict, const std::string& source,
+              time_point now, effect_list& effects);
+  void Refuse(const contract_verdict& verdict, revision_id revision,
+              document_list documents, const std::string& source,
+              time_point now, effect_list& effects);
+  void Audit(std::string_view subject, revision_id revision,
+             std::uint64_t digest, contract_fault fault,
+             const std::string& reason, const std::string& source,
+             time_point now, effect_list& effects) const;
+  void Announce(std::uint64_t digest, peer_body body);
+  void TellRefusals(const peer_message& from, effect_list& effects);
+  void MarkTold(std::uint64_t digest, host_id host);
+  void NoteConflict(const peer_message& from, time_point now,
+                    effect_list& effects);
+  contract_delta DeltaFrom(const contract_set* base) const;
+  void AskPeers(time_point now, effect_list& effects);
+
+  contract_validator contracts_;
+  topology_validator topologies_;
+  head_parser heads_;
+  std::shared_ptr<const contract_set> in_force_;
+  std::shared_ptr<const topology> topology_;
+  std::string topology_bytes_;
+  std::vector<std::shared_ptr<const contract_set>> history_;  ///< Newest last.
+  contract_fetch fetch_;           ///< Candidate from the service.
+  peer_revisions contract_peers_;  ///< Peers with a higher revision.
+  peer_revisions topology_peers_;  ///< Peers with a higher topology version.
+  /** Revision and digest of refused sets. */
+  std::set<std::pair<revision_id, std::uint64_t>> refused_;
+  std::set<revision_id> refused_here_;          ///< Refused from the service.
+  std::set<std::uint64_t> refused_bytes_;       ///< Heads and topologies.
+  std::set<std::uint64_t> refused_topologies_;  ///< Versions from peers.
+  std::vector<refusal_news> news_;              ///< Still being told.
+  std::set<std::pair<revision_id, std::uint64_t>> conflicts_;  ///< Audited.
+  revision_id too_new_{};      ///< Revision in a format not known here.
+  bool head_too_new_ = false;  ///< The head has a format not known here.
+  bool ask_in_full_ = false;   ///< A delta did not apply; ask without base.
+  std::uint64_t generation_ = 0;
 };
 
 }  // namespace corianderrail
