--- a/packages/contract/contract_diff.cpp
+++ b/packages/contract/contract_diff.cpp
@@ -3,10 +3,11 @@
 #include "contract/contract_diff.h"
 
 #include <array>
-#include <charconv>
 #include <map>
 #include <set>
 
+#include "contract/toml_reader.h"
+
 namespace corianderrail {
 
 namespace {
@@ -31,12 +32,6 @@
 constexpr std::array<std::string_view, 3> kChangeNames = {"added", "removed",
                                                           "changed"};
 
-std::string NumberText(double value) {
-  std::array<char, 32> buffer{};
-  auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
-  return {buffer.data(), end.ptr};
-}
-
 std::string ShareText(ppm share) {
   return NumberText(static_cast<double>(share) / kWholePpm);
 }
--- /dev/null
+++ b/packages/contract/document_tree.cpp
@@ -0,0 +1,263 @@
+/** @file document_tree.cpp Checks everything that is published at once. */
+
+#include "contract/document_tree.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "contract/contract_validate.h"
+#include "contract/digest.h"
+#include "contract/topology_parser.h"
+
+namespace corianderrail {
+
+namespace {
+
+const contract_document* FindDocument(
+    std::span<const contract_document> documents, std::string_view key) {
+  for (const contract_document& document : documents) {
+    if (document.key == key) return &document;
+  }
+  return nullptr;
+}
+
+/** Collects the faults of a tree without repeating any. */
+class tree_check {
+ public:
+  explicit tree_check(std::span<const contract_document> documents)
+      : documents_(documents.begin(), documents.end()) {
+    std::sort(documents_.begin(), documents_.end(),
+              [](const contract_document& a, const contract_document& b) {
+                return a.key < b.key;
+              });
+  }
+
+  std::vector<document_fault> Run();
+
+ private:
+  void CheckHead();
+  void CheckSets();
+  void CheckOther();
+  void CheckLoneContract(const contract_document& document);
+  void CheckCollections();
+  void Take(std::vector<document_fault> found);
+  void Fail(contract_fault fault, const std::string& source,
+            const std::string& what);
+
+  std::vector<contract_document> documents_;  ///< By key.
+  std::set<std::string> listed_;  ///< Contracts that a valid set lists.
+  std::vector<document_fault> faults_;
+  std::set<std::string> seen_;
+};
+
+std::vector<document_fault> tree_check::Run() {
+  CheckHead();
+  CheckSets();
+  CheckOther();
+  if (faults_.empty()) CheckCollections();
+  return std::move(faults_);
+}
+
+void tree_check::CheckHead() {
+  const contract_document* head = FindDocument(documents_, kHeadKey);
+  if (head == nullptr) return;
+  fault_list list(head->key);
+  std::optional<head_document> parsed = ParseHead(head->bytes, list);
+  Take(list.Sorted());
+  if (!parsed) return;
+  std::string key = SetKey(parsed->revision);
+  if (FindDocument(documents_, key) != nullptr) return;
+  Fail(contract_fault::missing_document, head->key,
+       key + " is missing; publish it before the head");
+}
+
+void tree_check::CheckSets() {
+  for (const contract_document& document : documents_) {
+    document_key key = ParseDocumentKey(document.key);
+    if (key.kind != document_kind::set) continue;
+    Take(FindContractFaults(DocumentsOfSet(documents_, key.revision)));
+    fault_list ignored(document.key);
+    std::optional<set_document> set =
+        ParseSet(document.bytes, key.revision, ignored);
+    if (!set) continue;
+    for (const set_customer& entry : set->customers) {
+      listed_.insert(ContractKey(entry.name, entry.revision));
+    }
+  }
+}
+
+void tree_check::CheckOther() {
+  for (const contract_document& document : documents_) {
+    switch (ParseDocumentKey(document.key).kind) {
+      case document_kind::contract:
+        CheckLoneContract(document);
+        break;
+      case document_kind::other:
+        if (document.key == kTopologyKey) {
+          Take(FindTopologyFaults(document.bytes, document.key));
+        } else {
+          Fail(contract_fault::unknown_key, document.key,
+               "no host reads this document; move or rename it");
+        }
+        break;
+      case document_kind::head:
+      case document_kind::set:
+        break;
+    }
+  }
+}
+
+void tree_check::CheckLoneContract(const contract_document& document) {
+  if (listed_.contains(document.key)) return;
+  fault_list list(document.key);
+  ParseContract(document.bytes, ParseDocumentKey(document.key), list);
+  Take(list.Sorted());
+}
+
+void tree_check::CheckCollections() {
+  const contract_document* source = FindDocument(documents_, kTopologyKey);
+  if (source == nullptr || FindDocument(documents_, kHeadKey) == nullptr) {
+    return;
+  }
+  topology_verdict index = ParseTopology(source->bytes);
+  contract_verdict contracts = ValidateTreeHead(documents_);
+  if (index.value == nullptr || contracts.set == nullptr) return;
+  std::set<std::string> names;
+  for (const collection_info& collection : index.value->collections) {
+    names.insert(collection.name);
+  }
+  for (const auto& [customer, contract] : contracts.set->customers) {
+    for (const work_contract& work : contract.work) {
+      if (names.contains(work.collection)) continue;
+      Fail(contract_fault::contradiction,
+           ContractKey(customer, contract.revision),
+           "kind " + Quoted(work.kind) + " runs over collection " +
+               Quoted(work.collection) +
+               ", which the topology does not list; correct one of them");
+    }
+  }
+}
+
+void tree_check::Take(std::vector<document_fault> found) {
+  for (document_fault& fault : found) {
+    if (seen_.insert(fault.text).second) faults_.push_back(std::move(fault));
+  }
+}
+
+void tree_check::Fail(contract_fault fault, const std::string& source,
+                      const std::string& what) {
+  Take({{fault, 1, source + ":1: " + what}});
+}
+
+/** Newest contract of each customer. */
+std::map<std::string, revision_id> NewestContracts(
+    std::span<const contract_document> documents) {
+  std::map<std::string, revision_id> newest;
+  for (const contract_document& document : documents) {
+    document_key key = ParseDocumentKey(document.key);
+    if (key.kind != document_kind::contract) continue;
+    revision_id& revision = newest[key.customer];
+    revision = std::max(revision, key.revision);
+  }
+  return newest;
+}
+
+/** Revision of the head, or 0. */
+revision_id HeadRevision(std::span<const contract_document> documents) {
+  const contract_document* head = FindDocument(documents, kHeadKey);
+  return head == nullptr ? revision_id{} : ValidateHead(head->bytes).revision;
+}
+
+/** First revision above the head's that no set document uses. */
+revision_id NextRevision(std::span<const contract_document> documents,
+                         const std::map<std::string, revision_id>& contracts) {
+  std::uint64_t next = Raw(HeadRevision(documents)) + 1;
+  for (const auto& [customer, revision] : contracts) {
+    next = std::max(next, Raw(revision));
+  }
+  while (FindDocument(documents, SetKey(revision_id{next})) != nullptr) ++next;
+  return revision_id{next};
+}
+
+std::vector<std::string> HeadSeats(
+    std::span<const contract_document> documents) {
+  const contract_document* source =
+      FindDocument(documents, SetKey(HeadRevision(documents)));
+  if (source == nullptr) return {};
+  fault_list ignored(source->key);
+  std::optional<set_document> set =
+      ParseSet(source->bytes, HeadRevision(documents), ignored);
+  return set ? set->seats : std::vector<std::string>();
+}
+
+}  // namespace
+
+std::vector<document_fault> FindTreeFaults(
+    std::span<const contract_document> documents) {
+  return tree_check(documents).Run();
+}
+
+contract_verdict ValidateTreeHead(
+    std::span<const contract_document> documents) {
+  const contract_document* head = FindDocument(documents, kHeadKey);
+  contract_verdict refused;
+  if (head == nullptr) {
+    refused.fault = contract_fault::missing_document;
+    refused.reason = std::string(kHeadKey) +
+                     ":1: the document is missing; publish it after its set";
+    return refused;
+  }
+  head_verdict verdict = ValidateHead(head->bytes);
+  if (verdict.fault != contract_fault::none) {
+    refused.fault = verdict.fault;
+    refused.reason = std::move(verdict.reason);
+    return refused;
+  }
+  return ValidateContracts(DocumentsOfSet(documents, verdict.revision));
+}
+
+std::vector<contract_document> DocumentsOfSet(
+    std::span<const contract_document> documents, revision_id revision) {
+  std::vector<contract_document> selected;
+  for (const contract_document& document : documents) {
+    document_key key = ParseDocumentKey(document.key);
+    bool wanted = key.kind == document_kind::contract ||
+                  (key.kind == document_kind::set && key.revision == revision);
+    if (wanted) selected.push_back(document);
+  }
+  return selected;
+}
+
+contract_document AssembleSet(std::span<const contract_document> documents,
+                              std::span<const std::string> seats,
+                              std::vector<document_fault>& faults) {
+  std::map<std::string, revision_id> contracts = NewestContracts(documents);
+  std::vector<std::string> addresses(seats.begin(), seats.end());
+  if (addresses.empty()) addresses = HeadSeats(documents);
+  revision_id revision = NextRevision(documents, contracts);
+  contract_document set;
+  set.key = SetKey(revision);
+  set.bytes = "format = " + std::to_string(kContractFormat) +
+              "\nrevision = " + std::to_string(Raw(revision)) + "\nseats = [\n";
+  for (const std::string& seat : addresses)
+    set.bytes += "  \"" + seat + "\",\n";
+  set.bytes += "]\n";
+  std::vector<contract_document> members;
+  for (const auto& [customer, newest] : contracts) {
+    const contract_document* contract =
+        FindDocument(documents, ContractKey(customer, newest));
+    set.bytes += "\n[[customer]]\nname = \"" + customer +
+                 "\"\nrevision = " + std::to_string(Raw(newest)) +
+                 "\ndigest = \"" + FormatDigest(DigestOf(contract->bytes)) +
+                 "\"\n";
+    members.push_back(*contract);
+  }
+  members.push_back(set);
+  faults = FindContractFaults(members);
+  if (!faults.empty()) return {};
+  return set;
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/contract/tests/digest_test.cpp
@@ -0,0 +1,32 @@
+/** @file digest_test.cpp Tests of digests. */
+
+#include "contract/digest.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+namespace corianderrail {
+namespace {
+
+// Guards against a change of the hash: published digests would stop matching.
+TEST_CASE("Digest_KnownBytes_GiveXxh3Value") {
+  CHECK(FormatDigest(DigestOf(std::string_view())) == "2d06800538d394c2");
+  CHECK(ParseDigest("2d06800538d394c2") == 0x2D06800538D394C2ULL);
+}
+
+// Guards against two spellings of one digest.
+TEST_CASE("Digest_OtherSpellings_AreRefused") {
+  CHECK_FALSE(ParseDigest("2D06800538D394C2"));
+  CHECK_FALSE(ParseDigest("0x06800538d394c2"));
+  CHECK_FALSE(ParseDigest("2d06800538d394c"));
+}
+
+// Guards against bytes that move between documents without a change of digest.
+TEST_CASE("Digest_BytesMovedBetweenDocuments_GiveOtherValue") {
+  std::array<contract_document, 2> first = {{{"a", "xy"}, {"b", "z"}}};
+  std::array<contract_document, 2> second = {{{"a", "x"}, {"b", "yz"}}};
+  CHECK(DigestOf(first) != DigestOf(second));
+}
+
+}  // namespace
+}  // namespace corianderrail
--- a/packages/contract/toml_reader.cpp
+++ b/packages/contract/toml_reader.cpp
@@ -7,11 +7,15 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace corianderrail {
 
 namespace {
 
+/** Larger numbers are written with an exponent. */
+constexpr double kMaxPlainNumber = 1e15;
+
 constexpr std::uint64_t kMaxPort = 65'535;
 
 /** Farthest edit distance at which a key is suggested. */
@@ -52,13 +56,6 @@
   }
 }
 
-/** Shortest text that reads back as the same number. */
-std::string NumberText(double value) {
-  std::array<char, 32> buffer{};
-  auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
-  return {buffer.data(), end.ptr};
-}
-
 std::string RangeText(std::string_view key, const std::string& value,
                       const std::string& least, const std::string& most) {
   return Quoted(key) + " is " + value + "; choose a value from " + least +
@@ -100,6 +97,18 @@
 
 }  // namespace
 
+std::string NumberText(double value) {
+  std::array<char, 32> buffer{};
+  char* first = buffer.data();
+  char* last = first + buffer.size();
+  std::to_chars_result end =
+      std::abs(value) < kMaxPlainNumber && std::abs(value) > 1 / kMaxPlainNumber
+          ? std::to_chars(first, last, value, std::chars_format::fixed)
+          : std::to_chars(first, last, value);
+  if (end.ec != std::errc()) end = std::to_chars(first, last, value);
+  return {first, end.ptr};
+}
+
 std::optional<toml::table> ParseToml(std::string_view bytes,
                                      fault_list& faults) {
   if (bytes.size() > kMaxDocumentBytes) {
@@ -113,6 +122,14 @@
     return toml::parse(bytes);
   } catch (const toml::parse_error& error) {
     std::uint32_t line = std::max<std::uint32_t>(1, error.source().begin.line);
+    if (error.description().find("nested value depth") !=
+        std::string_view::npos) {
+      faults.Add(contract_fault::too_large, line,
+                 "values are nested more than " +
+                     std::to_string(TOML_MAX_NESTED_VALUES) +
+                     " levels deep; remove levels");
+      return std::nullopt;
+    }
     std::string what = "the text is not TOML: ";
     for (char c : error.description()) what += (c >= ' ' && c <= '~') ? c : '?';
     faults.Add(contract_fault::syntax, line, what + "; correct this line");
--- a/packages/contract/toml_reader.h
+++ b/packages/contract/toml_reader.h
@@ -34,6 +34,9 @@
 std::optional<toml::table> ParseToml(std::string_view bytes,
                                      fault_list& faults);
 
+/** Shortest text that reads back as the same number. */
+std::string NumberText(double value);
+
 /** Line of a node; 1 for nodes that were not parsed. */
 std::uint32_t LineOf(const toml::node& node);
 
--- a/packages/contract/topology_parser.cpp
+++ b/packages/contract/topology_parser.cpp
@@ -58,7 +58,7 @@
   std::map<std::string, collection_id> collections_;
   std::map<std::string, service_id> services_;
   std::map<collection_id, std::vector<service_id>> members_;
-  std::map<leaf_id, std::string> leafs_;
+  std::set<leaf_id> leafs_;
 };
 
 std::shared_ptr<const topology> topology_builder::Build(
@@ -216,11 +216,11 @@
                  "'connections' or lower 'slots'");
   }
   leaf.id = LeafIdOf(leaf.address);
-  auto [position, fresh] = leafs_.emplace(leaf.id, leaf.address);
-  if (!fresh && !leaf.address.empty()) {
+  if (!leaf.address.empty() && !leafs_.insert(leaf.id).second) {
     faults_->Add(contract_fault::contradiction, line,
-                 "leaf " + Quoted(leaf.address) + " is already listed as " +
-                     Quoted(position->second) + "; remove one");
+                 "leaf " + Quoted(leaf.address) +
+                     " is listed twice or its identifier collides with "
+                     "another leaf's; remove it or change its port");
   }
   service.leafs.push_back(std::move(leaf));
 }
@@ -295,8 +295,9 @@
 void topology_builder::ReadReplicas(toml_reader& reader,
                                     const service_info& service,
                                     partition& part) {
-  for (const toml::node* node :
-       reader.Strings("replicas", kMaxLeafsPerService, presence::optional)) {
+  std::vector<const toml::node*> listed =
+      reader.Strings("replicas", kMaxLeafsPerService, presence::optional);
+  for (const toml::node* node : listed) {
     const std::string& address = node->as_string()->get();
     auto leaf = std::find_if(
         service.leafs.begin(), service.leafs.end(),
@@ -315,7 +316,7 @@
     }
     part.replicas.push_back(leaf->id);
   }
-  if (!part.replicas.empty()) return;
+  if (!listed.empty()) return;
   if (reader.Has("replicas")) {
     reader.Fail(contract_fault::out_of_range, "replicas",
                 "'replicas' is empty; name a leaf, or remove the key to use "
