--- /dev/null
+++ b/tests/driver/deployment.h
@@ -0,0 +1,124 @@
+/** @file deployment.h Deployments of the benchmark and of the driver tests. */
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/contract_type.h"
+#include "core/index_type.h"
+#include "driver/fake_leaf.h"
+#include "driver/fleet_type.h"
+#include "driver/virtual_fleet.h"
+
+namespace corianderrail::driver {
+
+/** Keys of one partition when the key space is split evenly. */
+inline constexpr std::uint64_t kPartitionWidth = 1'000'000;
+
+/** Sizes of a collection. */
+struct collection_plan {
+  std::string name;             ///< Name of the collection.
+  std::uint32_t services = 1;   ///< Services, one partition each.
+  std::uint32_t replicas = 1;   ///< Leafs of a service.
+  std::uint32_t slots = 2;      ///< Slots of a leaf.
+  std::uint32_t connections{};  ///< Connections of a leaf.
+  duration connect{};           ///< Connection set-up.
+};
+
+/** Sizes and delays of a deployment. */
+struct deployment_plan {
+  std::string name;                          ///< Name of the deployment.
+  delay_settings delays;                     ///< One-way delays.
+  std::vector<host_place> hosts;             ///< Entry hosts.
+  std::vector<host_place> sites;             ///< Zones of the leafs.
+  std::vector<collection_plan> collections;  ///< Collections.
+};
+
+/** The deployments of section 1.4 of the design. */
+deployment_plan Peachline();
+deployment_plan Heizventil();
+
+/** One collection over `services` services of one replica, for costs. */
+deployment_plan Linear(std::uint32_t services, std::uint32_t hosts);
+
+/** Small deployment for tests: 4 services of 3 replicas and 2 of 2 leafs. */
+deployment_plan SmallPlan();
+
+/** Share of capacity that the contracts keep for each rank. */
+inline constexpr per_rank<ppm> kFloors = {300'000, 150'000, 50'000};
+
+/** Longest time of a query in the benchmark. */
+inline constexpr duration kDeadline = std::chrono::milliseconds(500);
+
+/** Customer name for a rank. */
+std::string CustomerOf(rank r);
+
+/** Name of the kind of work that queries a collection. */
+std::string QueryKind(const std::string& collection);
+
+/** Name of the kind of work that orders in a collection. */
+std::string OrderKind(const std::string& collection);
+
+/** Published documents and what they stand for. */
+class document_store {
+ public:
+  explicit document_store(deployment_plan plan);
+
+  const deployment_plan& Plan() const { return plan_; }
+
+  /** Newest topology published. */
+  std::shared_ptr<const topology> Topology() const { return newest_; }
+  std::shared_ptr<const contract_set> Contracts() const { return contracts_; }
+
+  /** Topology of published bytes; null when unknown. */
+  std::shared_ptr<const topology> Find(const std::string& bytes) const;
+
+  /**
+   * Adds a snapshot to all collections. Odd and even snapshots have different
+   * partition boundaries and different services for a range.
+   */
+  void AddSnapshot();
+
+  /** Removes the oldest snapshot. */
+  void RemoveSnapshot();
+
+  /** Bytes of the newest topology document. */
+  std::string TopologyBytes() const;
+
+  /** Snapshots in the newest topology, oldest first. */
+  const std::vector<std::uint64_t>& Snapshots() const { return snapshots_; }
+
+  /** Adds all leafs, holding the newest snapshots, and publishes. */
+  void Install(virtual_fleet& fleet, const fake_leaf_settings& leaf,
+               std::uint64_t seed) const;
+
+  /** Makes the leafs of a service hold its part of a snapshot. */
+  void Load(virtual_fleet& fleet, const service_info& service,
+            std::uint64_t snapshot) const;
+
+  /** Publishes the documents of the newest state. */
+  void Publish(virtual_fleet& fleet) const;
+
+ private:
+  void Rebuild();
+  void BuildServices();
+  void BuildContracts();
+  partition_map Map(collection_id collection, std::uint64_t snapshot) const;
+
+  deployment_plan plan_;
+  std::vector<service_info> services_;
+  std::vector<std::uint64_t> snapshots_ = {1};
+  std::uint64_t version_ = 0;
+  std::shared_ptr<const topology> newest_;
+  std::shared_ptr<const contract_set> contracts_;
+  std::map<std::string, std::shared_ptr<const topology>> by_bytes_;
+};
+
+/** Requests per second that the leafs of a collection can run. */
+double Capacity(const collection_plan& plan, const fake_leaf_settings& leaf);
+
+}  // namespace corianderrail::driver
--- /dev/null
+++ b/tests/driver/fake_platform.h
@@ -0,0 +1,51 @@
+/** @file fake_platform.h Configuration service and host list. */
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/effect_type.h"
+#include "core/event_type.h"
+#include "driver/fleet_type.h"
+
+namespace corianderrail::driver {
+
+class virtual_fleet;
+
+/** Answers reads and watches of hosts. */
+class fake_platform {
+ public:
+  explicit fake_platform(virtual_fleet& fleet) : fleet_(fleet) {}
+
+  /** Sets a value and answers the watches on it. */
+  void Publish(const std::string& key, const std::string& bytes);
+
+  void Read(std::size_t host, const read_config_effect& effect);
+  void ReadHostList(std::size_t host);
+
+  bool reachable = true;  ///< False: nothing can be read.
+
+ private:
+  struct value {
+    std::uint64_t version = 0;
+    std::string bytes;
+  };
+  struct watch {
+    std::size_t host = 0;
+    std::uint64_t life = 0;
+    std::uint64_t id = 0;
+  };
+
+  void Answer(std::size_t host, std::uint64_t life, const std::string& key);
+
+  virtual_fleet& fleet_;
+  std::uint64_t last_watch_ = 0;
+  std::map<std::string, value> values_;
+  std::map<std::string, std::vector<watch>> watches_;
+};
+
+}  // namespace corianderrail::driver
--- /dev/null
+++ b/tests/driver/load_generator.cpp
@@ -0,0 +1,129 @@
+/** @file load_generator.cpp Callers with Poisson arrivals, and checked answers.
+ */
+
+#include "driver/load_generator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "driver/deployment.h"
+
+namespace corianderrail::driver {
+
+namespace {
+
+/** Parts of a query begin at different multiples of half a partition. */
+constexpr std::uint64_t kPartStep = kPartitionWidth / 2;
+constexpr std::uint64_t kPartsPerQuery = 1 << 13;
+
+}  // namespace
+
+load_generator::load_generator(virtual_fleet& fleet,
+                               std::vector<load_stream> streams,
+                               duration deadline, std::uint64_t seed)
+    : fleet_(fleet), deadline_(deadline), random_(seed) {
+  for (load_stream& stream : streams) streams_.push_back({std::move(stream)});
+  fleet_.leafs.on_send = [this](const send_leaf_effect& sent) {
+    if (sent.request.order) return;
+    ++leaf_requests_;
+    leaf_parts_.insert(std::stoull(sent.request.payload) * kPartsPerQuery +
+                       sent.request.range.begin / kPartStep);
+  };
+}
+
+void load_generator::Start() {
+  for (std::size_t i = 0; i < streams_.size(); ++i) PlanNext(i);
+}
+
+void load_generator::SetFactor(rank urgency, double factor) {
+  for (std::size_t i = 0; i < streams_.size(); ++i) {
+    if (streams_[i].stream.urgency != urgency) continue;
+    streams_[i].factor = factor;
+    ++streams_[i].round;
+    PlanNext(i);
+  }
+}
+
+void load_generator::Stop() {
+  for (stream_state& state : streams_) ++state.round;
+}
+
+void load_generator::PlanNext(std::size_t stream) {
+  const stream_state& state = streams_[stream];
+  const double rate = state.stream.rate_per_s * state.factor;
+  if (rate <= 0) return;
+  const double wait = -std::log(1 - random_.Unit()) * 1e6 / rate;
+  fleet_.After(duration(static_cast<duration::rep>(wait)),
+               [this, stream, round = state.round] {
+                 if (streams_[stream].round != round) return;
+                 SendQuery(stream);
+                 PlanNext(stream);
+               });
+}
+
+void load_generator::SendQuery(std::size_t stream) {
+  const load_stream& from = streams_[stream].stream;
+  const std::size_t sample = samples_.size();
+  query_sample fresh;
+  fresh.sent = fleet_.Now();
+  fresh.urgency = from.urgency;
+  fresh.collection = static_cast<std::uint8_t>(from.collection);
+  samples_.push_back(fresh);
+  caller_query_event query;
+  query.request.request_id = std::to_string(sample);
+  query.request.customer = CustomerOf(from.urgency);
+  query.request.kind = QueryKind(from.name);
+  query.request.deadline = deadline_;
+  query.request.payload = query.request.request_id;
+  fleet_.Call(random_.Below(fleet_.HostCount()), std::move(query),
+              [this, sample, keys = from.key_space](const effect* answer) {
+                OnAnswer(sample, keys, answer);
+              });
+}
+
+void load_generator::OnAnswer(std::size_t sample, std::uint64_t keys,
+                              const effect* answer) {
+  query_sample& ended = samples_[sample];
+  if (ended.outcome != query_outcome::open) {
+    ++faults_.repeated;
+    return;
+  }
+  ended.elapsed = fleet_.Now() - ended.sent;
+  ended.outcome = query_outcome::lost;
+  if (answer == nullptr) return;
+  if (const auto* got = std::get_if<answer_query_effect>(answer)) {
+    Check(sample, keys, got->answer);
+  } else {
+    ended.outcome = query_outcome::refused;
+  }
+}
+
+void load_generator::Check(std::size_t sample, std::uint64_t keys,
+                           const query_answer& answer) {
+  query_sample& ended = samples_[sample];
+  ended.outcome = answer.status == answer_status::incomplete
+                      ? query_outcome::incomplete
+                      : query_outcome::answered;
+  ended.coverage = answer.coverage;
+  ended.parts = static_cast<std::uint32_t>(answer.parts.size());
+  bool mixed = false;
+  bool crossed = answer.request_id != std::to_string(sample);
+  std::uint64_t covered = 0;
+  std::uint64_t last_end = 0;
+  for (const partition_answer& part : answer.parts) {
+    const leaf_evidence evidence = ParseEvidence(part.payload);
+    mixed |= evidence.snapshot != answer.snapshot;
+    crossed |= evidence.query != answer.request_id;
+    // Keys that two parts both claim count once.
+    const std::uint64_t begin = std::max(evidence.range.begin, last_end);
+    if (evidence.range.end > begin) covered += evidence.range.end - begin;
+    last_end = std::max(last_end, evidence.range.end);
+  }
+  faults_.mixed += mixed ? 1 : 0;
+  faults_.crossed += crossed ? 1 : 0;
+  const std::uint64_t true_coverage = covered * kWholePpm / keys;
+  faults_.overstated += answer.coverage > true_coverage ? 1 : 0;
+}
+
+}  // namespace corianderrail::driver
--- /dev/null
+++ b/tests/driver/virtual_fleet.cpp
@@ -0,0 +1,190 @@
+/** @file virtual_fleet.cpp One event queue that joins hosts and fake leafs. */
+
+#include "driver/virtual_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderrail::driver {
+
+namespace {
+
+bool Later(const auto& a, const auto& b) {
+  return a.when != b.when ? a.when > b.when : a.order > b.order;
+}
+
+template <typename... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+
+}  // namespace
+
+virtual_fleet::virtual_fleet(std::vector<host_place> places,
+                             delay_settings delays, host_factory factory,
+                             std::uint64_t seed)
+    : hosts_(places.size()),
+      delays_(delays),
+      factory_(std::move(factory)),
+      random_(seed) {
+  for (std::size_t i = 0; i < places.size(); ++i) {
+    by_address_[places[i].address] = i;
+    hosts_[i].place = std::move(places[i]);
+  }
+}
+
+void virtual_fleet::After(duration delay, task action) {
+  queue_.push_back({now_ + delay, ++last_item_, std::move(action)});
+  std::push_heap(queue_.begin(), queue_.end(), Later<item, item>);
+}
+
+void virtual_fleet::RunUntil(time_point end) {
+  while (!queue_.empty() && queue_.front().when <= end) {
+    std::pop_heap(queue_.begin(), queue_.end(), Later<item, item>);
+    const item next = std::move(queue_.back());
+    queue_.pop_back();
+    now_ = next.when;
+    next.action();
+  }
+  now_ = end;
+}
+
+void virtual_fleet::StartHost(std::size_t host) {
+  host_slot& slot = hosts_[host];
+  ++slot.life;
+  slot.paused_until = now_;
+  slot.wake = kNever;
+  slot.self = factory_(host, incarnation_id{slot.life}, now_);
+  effect_list effects;
+  slot.self->Start(now_, effects);
+  Carry(host, effects);
+}
+
+void virtual_fleet::KillHost(std::size_t host) {
+  host_slot& slot = hosts_[host];
+  slot.self.reset();
+  leafs.Forget(host);
+  for (auto& [id, handler] : slot.calls) {
+    After(delays_.to_client, [handler] { handler(nullptr); });
+  }
+  slot.calls.clear();
+  slot.inbox.clear();
+}
+
+void virtual_fleet::PauseHost(std::size_t host, duration length) {
+  const std::uint64_t life = hosts_[host].life;
+  hosts_[host].paused_until = now_ + length;
+  After(length, [this, host, life] {
+    host_slot& slot = hosts_[host];
+    if (slot.life != life || now_ < slot.paused_until) return;
+    for (const event& happening : std::exchange(slot.inbox, {})) {
+      Deliver(host, life, happening);
+    }
+  });
+}
+
+void virtual_fleet::Deliver(std::size_t host, std::uint64_t life,
+                            const event& happening) {
+  host_slot& slot = hosts_[host];
+  if (!slot.self || slot.life != life) return;
+  if (now_ < slot.paused_until) {
+    slot.inbox.push_back(happening);
+    return;
+  }
+  effect_list effects;
+  slot.self->Reduce(happening, now_, effects);
+  Carry(host, effects);
+}
+
+void virtual_fleet::PlanWake(std::size_t host) {
+  host_slot& slot = hosts_[host];
+  const time_point next = slot.self->NextWake();
+  if (next == kNever || next >= slot.wake) return;
+  slot.wake = std::max(next, now_ + duration(1));
+  After(slot.wake - now_, [this, host, life = slot.life, wake = slot.wake] {
+    if (hosts_[host].life != life || hosts_[host].wake != wake) return;
+    hosts_[host].wake = kNever;
+    Deliver(host, life, tick_event{});
+  });
+}
+
+void virtual_fleet::Carry(std::size_t host, effect_list& effects) {
+  for (effect& next : effects) {
+    const auto answer = [&](const auto& body) {
+      Answer(host, body.call, std::move(next));
+    };
+    std::visit(
+        overloaded{
+            [&](const answer_query_effect& body) { answer(body); },
+            [&](const refuse_effect& body) { answer(body); },
+            [&](const answer_order_effect& body) { answer(body); },
+            [&](const answer_order_ids_effect& body) { answer(body); },
+            [&](const answer_addresses_effect& body) { answer(body); },
+            [&](const send_peer_effect& body) { SendPeer(host, body); },
+            [&](const send_leaf_effect& body) { leafs.Send(host, body); },
+            [&](const cancel_leaf_effect& body) { leafs.Cancel(host, body); },
+            [&](const set_connections_effect& body) {
+              leafs.SetTarget(host, body);
+            },
+            [&](const read_config_effect& body) { platform.Read(host, body); },
+            [&](const read_host_list_effect&) { platform.ReadHostList(host); },
+            [&](const log_effect& body) { log.push_back(body.text); },
+            [&](const auto&) {}},
+        next);
+  }
+  PlanWake(host);
+}
+
+void virtual_fleet::OpenCall(std::size_t host, call_id call, event request,
+                             answer_handler handler) {
+  After(delays_.to_client, [this, host, call, request = std::move(request),
+                            handler = std::move(handler)] {
+    if (!hosts_[host].self) return handler(nullptr);
+    hosts_[host].calls[call] = handler;
+    Deliver(host, hosts_[host].life, request);
+  });
+}
+
+void virtual_fleet::Answer(std::size_t host, call_id call, effect answer) {
+  const auto found = hosts_[host].calls.find(call);
+  if (found == hosts_[host].calls.end()) {
+    ++repeated_answers;
+    return;
+  }
+  After(delays_.to_client, [handler = std::move(found->second),
+                            answer = std::move(answer)] { handler(&answer); });
+  hosts_[host].calls.erase(found);
+}
+
+bool virtual_fleet::Cut(const host_place& from, const host_place& to) const {
+  return from.zone != to.zone &&
+         (cut_zones.contains(from.zone) || cut_zones.contains(to.zone));
+}
+
+duration virtual_fleet::Delay(const host_place& from,
+                              const host_place& to) const {
+  if (from.zone == to.zone) return delays_.within_zone;
+  return from.region == to.region ? delays_.between_zones
+                                  : delays_.between_regions;
+}
+
+void virtual_fleet::SendPeer(std::size_t from, const send_peer_effect& effect) {
+  const auto found = by_address_.find(effect.address);
+  if (found == by_address_.end()) return;
+  const std::size_t to = found->second;
+  const host_place& here = hosts_[from].place;
+  if (Cut(here, hosts_[to].place)) return;
+  if (cut_hosts.contains(from) || cut_hosts.contains(to)) return;
+  if (Chance(faults.drop)) return;
+  const peer_event message{hosts_[from].self->Envelope(effect)};
+  const int copies = Chance(faults.duplicate) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    duration delay = Delay(here, hosts_[to].place);
+    if (Chance(faults.delay)) {
+      delay += duration(random_.Below(faults.delay_max.count()));
+    }
+    After(delay, [this, to, message] { Deliver(to, Life(to), message); });
+  }
+}
+
+}  // namespace corianderrail::driver
