--- /dev/null
+++ b/bench/direct_host.h
@@ -0,0 +1,82 @@
+/** @file direct_host.h Baseline: entries talk to leafs under adaptive limits.
+ */
+
+#pragma once
+
+#include <deque>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+#include "baseline_host.h"
+
+namespace corianderrail::bench {
+
+/**
+ * Rank queues at each entry, a concurrency limit per leaf that follows the
+ * latency (additive increase, multiplicative decrease), and hedges from a
+ * budget of 5% of the parts.
+ */
+class direct_host : public baseline_host {
+ public:
+  using baseline_host::baseline_host;
+
+  time_point NextWake() const override;
+
+ protected:
+  bool Admit(collection_id collection, rank urgency,
+             duration deadline) override;
+  void Begin(const baseline_part& part, time_point now,
+             effect_list& effects) override;
+  void OnReply(leaf_call_id call, const leaf_reply& reply, time_point now,
+               effect_list& effects) override;
+  void OnFailure(leaf_call_id call, time_point now,
+                 effect_list& effects) override;
+  void OnConnections(leaf_id leaf, std::uint32_t open, time_point now,
+                     effect_list& effects) override;
+  void OnTick(time_point now, effect_list& effects) override;
+
+ private:
+  struct leaf_state {
+    double limit = 2;            ///< Concurrency limit.
+    double latency_us = 0;       ///< Smoothed latency; 0 before the first.
+    std::uint32_t open = 0;      ///< Connections open.
+    std::uint32_t used = 0;      ///< Requests in flight.
+    time_point last_decrease{};  ///< The limit falls once per interval.
+  };
+  struct service_state {
+    per_rank<std::deque<baseline_part>> queues;
+    double floor_us = 0;  ///< Slowly rising minimum of latencies.
+    double hedge_us = 0;  ///< Estimate of the 95th percentile.
+    double tokens = 0;    ///< Budget of hedges and retries.
+  };
+  struct sent_part {
+    baseline_part part;
+    leaf_id leaf{};
+    time_point sent{};
+    bool hedged = false;  ///< Another request for the part was sent.
+  };
+  using hedge_entry = std::pair<time_point, leaf_call_id>;
+
+  void Dispatch(service_id service, time_point now, effect_list& effects);
+  const leaf_info* Choose(service_id service, leaf_id except);
+  void SendTo(baseline_part part, leaf_id leaf, time_point now,
+              effect_list& effects);
+  void Hedge(leaf_call_id call, time_point now, effect_list& effects);
+  void Learn(service_state& service, leaf_state& leaf, double latency_us,
+             time_point now);
+  void Decrease(leaf_state& leaf, time_point now);
+  void Retry(const sent_part& sent, time_point now, effect_list& effects);
+  void CancelTwins(const baseline_part& part, leaf_call_id except,
+                   effect_list& effects);
+  static std::uint64_t PartKey(const baseline_part& part);
+
+  std::unordered_map<leaf_id, leaf_state> leafs_;
+  std::unordered_map<service_id, service_state> services_;
+  std::unordered_map<leaf_call_id, sent_part> sent_;
+  std::unordered_map<std::uint64_t, std::vector<leaf_call_id>> twins_;
+  std::priority_queue<hedge_entry, std::vector<hedge_entry>, std::greater<>>
+      hedges_;
+};
+
+}  // namespace corianderrail::bench
--- /dev/null
+++ b/bench/naive_host.cpp
@@ -0,0 +1,81 @@
+/** @file naive_host.cpp Baseline: forwards at once to a random replica. */
+
+#include "naive_host.h"
+
+#include <utility>
+
+namespace corianderrail::bench {
+
+namespace {
+
+/** Requests for one part before it counts as failed. */
+constexpr std::uint32_t kAttempts = 3;
+
+}  // namespace
+
+void naive_host::Begin(const baseline_part& part, time_point now,
+                       effect_list& effects) {
+  const auto& replicas = Service(part.service).leafs;
+  const leaf_id leaf = replicas[random_.Below(replicas.size())].id;
+  leafs_[leaf].waiting.push_back(part);
+  Drain(leaf, now, effects);
+}
+
+void naive_host::Drain(leaf_id leaf, time_point now, effect_list& effects) {
+  leaf_state& state = leafs_[leaf];
+  // With no connection the request goes out anyway and fails to connect.
+  while (!state.waiting.empty() &&
+         (state.used < state.open || state.open == 0)) {
+    baseline_part part = state.waiting.front();
+    state.waiting.pop_front();
+    ++part.attempts;
+    ++state.used;
+    const leaf_call_id call = SendPart(part, leaf, now, effects);
+    sent_[call] = {part, leaf};
+  }
+}
+
+naive_host::sent_part naive_host::Take(leaf_call_id call) {
+  const auto found = sent_.find(call);
+  sent_part sent = found->second;
+  sent_.erase(found);
+  --leafs_[sent.leaf].used;
+  return sent;
+}
+
+void naive_host::Retry(baseline_part part, time_point now,
+                       effect_list& effects) {
+  if (part.attempts >= kAttempts || !Wanted(part)) {
+    PartFailed(part, now, effects);
+    return;
+  }
+  Begin(part, now, effects);
+}
+
+void naive_host::OnReply(leaf_call_id call, const leaf_reply& reply,
+                         time_point now, effect_list& effects) {
+  const sent_part sent = Take(call);
+  if (reply.status == leaf_status::ok) {
+    PartDone(sent.part, reply.payload, now, effects);
+  } else {
+    Retry(sent.part, now, effects);
+  }
+  Drain(sent.leaf, now, effects);
+}
+
+void naive_host::OnFailure(leaf_call_id call, time_point now,
+                           effect_list& effects) {
+  const sent_part sent = Take(call);
+  Retry(sent.part, now, effects);
+  Drain(sent.leaf, now, effects);
+}
+
+void naive_host::OnConnections(leaf_id leaf, std::uint32_t open, time_point now,
+                               effect_list& effects) {
+  leafs_[leaf].open = open;
+  Drain(leaf, now, effects);
+}
+
+void naive_host::OnTick(time_point, effect_list&) {}
+
+}  // namespace corianderrail::bench
--- /dev/null
+++ b/bench/naive_host.h
@@ -0,0 +1,50 @@
+/** @file naive_host.h Baseline: forwards at once to a random replica. */
+
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+
+#include "baseline_host.h"
+
+namespace corianderrail::bench {
+
+/**
+ * First come, first served per leaf connection; retries on errors; no hedges,
+ * limits, ranks or cancellation.
+ */
+class naive_host : public baseline_host {
+ public:
+  using baseline_host::baseline_host;
+
+ protected:
+  void Begin(const baseline_part& part, time_point now,
+             effect_list& effects) override;
+  void OnReply(leaf_call_id call, const leaf_reply& reply, time_point now,
+               effect_list& effects) override;
+  void OnFailure(leaf_call_id call, time_point now,
+                 effect_list& effects) override;
+  void OnConnections(leaf_id leaf, std::uint32_t open, time_point now,
+                     effect_list& effects) override;
+  void OnTick(time_point now, effect_list& effects) override;
+
+ private:
+  struct leaf_state {
+    std::uint32_t open = 0;
+    std::uint32_t used = 0;
+    std::deque<baseline_part> waiting;
+  };
+  struct sent_part {
+    baseline_part part;
+    leaf_id leaf{};
+  };
+
+  void Drain(leaf_id leaf, time_point now, effect_list& effects);
+  void Retry(baseline_part part, time_point now, effect_list& effects);
+  sent_part Take(leaf_call_id call);
+
+  std::unordered_map<leaf_id, leaf_state> leafs_;
+  std::unordered_map<leaf_call_id, sent_part> sent_;
+};
+
+}  // namespace corianderrail::bench
