Detect stragglers behind hedges and test the leaf scheduler

A hedge that won cancelled the slow request before it was old enough to count against its leaf, so with 16 replicas a straggler was never ejected. Cancelled requests now count from 1.5 tails on, and 3 consecutive ones eject the leaf. The time kept for the reply grows with the deadline.

--- a/packages/core/leaf_dispatch.cpp
+++ b/packages/core/leaf_dispatch.cpp
@@ -17,9 +17,10 @@
  *  its own replicas are busy. */
 constexpr std::size_t kScan = 8;
 
-/** Time in which a leaf frees the slot of a cancelled request. It covers a
- *  round trip between regions. */
-constexpr duration kCancelGrace = std::chrono::milliseconds(30);
+/** Bounds of the time in which a leaf frees the slot of a cancelled request.
+ *  The upper one covers a round trip between regions. */
+constexpr duration kLeastCancelGrace = std::chrono::milliseconds(1);
+constexpr duration kLongestCancelGrace = std::chrono::milliseconds(30);
 
 /** An ejected leaf returns without a probe this long after its probe was due,
  *  because the budget may never hold a token for it. */
@@ -29,14 +30,17 @@
  *  this long after its last work. */
 constexpr duration kIdleConnections = std::chrono::seconds(5);
 
-/** Time kept for the way back to the entry. */
-constexpr duration kReplyMargin = std::chrono::milliseconds(1);
+/** Part of the whole time kept for the way to this host and back to the
+ *  entry, which the remaining time in the message does not count. Between
+ *  regions both ways take 24 ms of a typical 500 ms. */
+constexpr int kReplyShare = 20;
+constexpr duration kLeastReplyMargin = std::chrono::milliseconds(2);
 
 /** Latest moment at which a task may still be sent. */
 time_point SendBy(const task_record& task, time_point now) {
   const latency_digest& digest = task.service->digest;
   const duration whole = task.deadline - task.arrived;
-  duration need = kReplyMargin;
+  duration need = std::max(kLeastReplyMargin, whole / kReplyShare);
   if (digest.Learned(now)) need += digest.Need();
   // Work with a deadline below the learned latency is still sent during the
   // first half of its time. Otherwise a service that was slow for a while
@@ -285,13 +289,14 @@
   call_record& call = *calls.Find(id);
   call.task = 0;
   call.cancelled = true;
-  if (!call.spans_gap) {
-    call.leaf->AddCensored(now - call.sent, call.service->mean, now);
-  }
+  if (!call.spans_gap) NoteCancelled(call, now);
   effects.push_back(cancel_leaf_effect{leaf_call_id{id}, call.leaf->info.id});
   ++counters.cancelled;
-  call.release_at = now + kCancelGrace;
+  // A cancellation takes one round trip, and no reply was ever faster.
+  call.release_at = now + std::clamp(call.leaf->LeastLatency(),
+                                     kLeastCancelGrace, kLongestCancelGrace);
   AddTimer(call.release_at, timer_kind::call, id);
+  MaybeEject(*call.service, *call.leaf, now, effects);
 }
 
 void service_owner::state::DropExpired(service_state& service, time_point now,
--- a/packages/core/leaf_health.cpp
+++ b/packages/core/leaf_health.cpp
@@ -20,7 +20,10 @@
 constexpr duration kSampleLife = std::chrono::seconds(2);
 
 constexpr duration kFirstProbe = std::chrono::milliseconds(250);
-constexpr duration kLongestProbe = std::chrono::seconds(16);
+
+/** Bounds the time that a recovered leaf stays out; a service must be healthy
+ *  5 s after a fault ends. */
+constexpr duration kLongestProbe = std::chrono::seconds(2);
 
 /** An ejection this soon after a readmission doubles the pause. */
 constexpr duration kRelapse = std::chrono::seconds(30);
@@ -40,6 +43,7 @@
 
 void leaf_health::AddLatency(duration latency, double service_mean,
                              time_point now) {
+  least_ = std::min(least_, latency);
   auto micros = static_cast<double>(latency.count());
   if (service_mean > 0) micros = std::min(micros, kOutlierCap * service_mean);
   mean_ = samples_ == 0 ? micros : mean_ + kSmoothing * (micros - mean_);
--- a/packages/core/leaf_health.h
+++ b/packages/core/leaf_health.h
@@ -20,8 +20,9 @@
 inline constexpr double kStragglerFactor = 3.0;  ///< Mean against the peers'.
 inline constexpr std::uint32_t kStragglerSamples = 3;  ///< Before comparing.
 
-/** Requests at age of 3 tails that eject a leaf; one alone is an outlier. */
-inline constexpr std::uint32_t kStrikesToEject = 2;
+/** Consecutive slow requests that eject a leaf. With 2% of outliers, 2 in a row
+ *  are common on a healthy leaf, while 3 occur once in 125,000 requests. */
+inline constexpr std::uint32_t kStrikesToEject = 3;
 
 /** Consecutive failures that eject a leaf; a leaf that fails at once would
  *  otherwise look like the fastest one. */
@@ -74,6 +75,9 @@
   std::uint32_t Samples() const { return samples_; }
   double Mean() const { return mean_; }
 
+  /** Lowest latency seen; the longest time before the first one. */
+  duration LeastLatency() const { return least_; }
+
   /** Counts a good reply toward the ramp. */
   void OnGood();
 
@@ -98,13 +102,14 @@
     time_point until{};      ///< Ask again after this.
   };
 
-  std::uint32_t allowed_ = 1;  ///< Slots that the ramp allows.
-  std::uint32_t good_ = 0;     ///< Good replies since the last step.
-  double mean_ = 0;            ///< Smoothed latency, microseconds.
-  std::uint32_t samples_ = 0;  ///< Latencies seen.
-  time_point last_sample_{};   ///< Time of the last one.
-  duration backoff_{};         ///< Pause before the next probe.
-  time_point readmitted_{};    ///< Time of the last readmission.
+  std::uint32_t allowed_ = 1;         ///< Slots that the ramp allows.
+  std::uint32_t good_ = 0;            ///< Good replies since the last step.
+  double mean_ = 0;                   ///< Smoothed latency, microseconds.
+  std::uint32_t samples_ = 0;         ///< Latencies seen.
+  time_point last_sample_{};          ///< Time of the last one.
+  duration least_ = duration::max();  ///< Lowest latency seen.
+  duration backoff_{};                ///< Pause before the next probe.
+  time_point readmitted_{};           ///< Time of the last readmission.
   std::array<lack, 2> lacks_{};
   std::size_t next_lack_ = 0;
 };
--- a/packages/core/leaf_watch.cpp
+++ b/packages/core/leaf_watch.cpp
@@ -16,6 +16,10 @@
 /** Age in tails at which a hedge may use the last tokens. */
 constexpr int kOutlierTails = 2;
 
+/** Age in half tails at which a cancelled request counts against its leaf. A
+ *  hedge sent after one tail may win well before two tails have passed. */
+constexpr int kCancelledHalfTails = 3;
+
 /** Requests are checked this often while no latency was learned, and between
  *  attempts to hedge. */
 constexpr duration kRecheck = std::chrono::milliseconds(20);
@@ -153,6 +157,19 @@
   Smooth(service.cost[RankIndex(call.urgency)], micros);
 }
 
+void service_owner::state::NoteCancelled(call_record& call, time_point now) {
+  const service_state& service = *call.service;
+  const duration age = now - call.sent;
+  call.leaf->AddCensored(age, service.mean, now);
+  // A hedge that wins cancels the request before it gets old enough for
+  // NoteSlow(); without this strike, hedging would hide the straggler.
+  if (call.slow || call.purpose == call_purpose::probe) return;
+  if (!service.digest.Learned(now)) return;
+  if (2 * age < kCancelledHalfTails * service.digest.Tail()) return;
+  call.slow = true;
+  ++call.leaf->strikes;
+}
+
 void service_owner::state::NoteProbe(const call_record& call, bool good,
                                      time_point now) {
   leaf_health& leaf = *call.leaf;
--- a/packages/core/owner_state.h
+++ b/packages/core/owner_state.h
@@ -245,6 +245,7 @@
                    time_point now, effect_list& effects);
   void GiveUp(slot_handle id, time_point now, effect_list& effects);
   void NoteLatency(const call_record& call, time_point now);
+  void NoteCancelled(call_record& call, time_point now);
   void NoteProbe(const call_record& call, bool good, time_point now);
   void NoteFailure(service_state& service, leaf_health& leaf, time_point now,
                    effect_list& effects);
--- a/packages/core/tests/owner_fixture.h
+++ b/packages/core/tests/owner_fixture.h
@@ -30,7 +30,7 @@
   duration latency = milliseconds(10);   ///< Time until the reply.
   leaf_status status = leaf_status::ok;  ///< Outcome.
   bool draining = false;                 ///< In-band flag.
-  bool silent = false;                   ///< Never replies.
+  bool silent = false;                   ///< Lost before it runs.
   bool broken = false;                   ///< Connection breaks instead.
   snapshot_id newest{};                  ///< Newest snapshot named.
 };
@@ -81,7 +81,8 @@
       service_info service;
       service.name = "theke-" + std::to_string(s);
       partition part;
-      part.range = {s * 1000, (s + 1) * 1000};
+      const std::uint64_t begin = std::uint64_t{s} * 1000;
+      part.range = {begin, begin + 1000};
       part.service = service_id{s};
       for (std::uint32_t i = 0; i < leafs; ++i) {
         leaf_info leaf;
@@ -242,6 +243,7 @@
   std::vector<order_result> orders;
   std::map<order_id, std::uint32_t> order_requests;
   std::vector<leaf_observation> observations;
+  std::vector<leaf_call_id> calls;
   std::vector<leaf_call_id> cancelled;
   bool auto_connect = true;  ///< Connections open as soon as wanted.
 
@@ -261,7 +263,7 @@
     const pending_reply due = replies_.top();
     replies_.pop();
     now = std::max(now, due.when);
-    if (stopped_.erase(due.call) > 0) return;
+    if (running_.erase(due.call) == 0) return;
     --leafs_.at(due.leaf).running;
     if (due.script.broken) {
       owner.OnLeafFailure({due.call, leaf_failure::broken}, now, effects);
@@ -279,17 +281,18 @@
     if (const auto* send = std::get_if<send_leaf_effect>(&each)) {
       simulated_leaf& leaf = leafs_.at(send->leaf);
       ++leaf.requests;
-      ++leaf.running;
-      leaf.most_running = std::max(leaf.most_running, leaf.running);
+      calls.push_back(send->call);
       if (send->request.order) ++order_requests[*send->request.order];
       const leaf_script script = leaf.behave(send->request);
       if (script.silent) return;
+      running_.insert(send->call);
+      ++leaf.running;
+      leaf.most_running = std::max(leaf.most_running, leaf.running);
       replies_.push({now + script.latency, send->call, send->leaf, script,
                      send->request.order.has_value()});
     } else if (const auto* stop = std::get_if<cancel_leaf_effect>(&each)) {
       cancelled.push_back(stop->call);
-      stopped_.insert(stop->call);
-      --leafs_.at(stop->leaf).running;
+      if (running_.erase(stop->call) > 0) --leafs_.at(stop->leaf).running;
     } else if (const auto* open = std::get_if<set_connections_effect>(&each)) {
       const auto found = leafs_.find(open->leaf);
       if (found == leafs_.end()) return;
@@ -318,7 +321,7 @@
   std::priority_queue<pending_reply, std::vector<pending_reply>,
                       std::greater<pending_reply>>
       replies_;
-  std::set<leaf_call_id> stopped_;
+  std::set<leaf_call_id> running_;
 };
 
 }  // namespace corianderrail
--- /dev/null
+++ b/packages/core/tests/service_owner_fault_test.cpp
@@ -0,0 +1,220 @@
+/** @file service_owner_fault_test.cpp Tests of failing and leaving leafs. */
+
+#include <catch2/catch.hpp>
+
+#include "owner_fixture.h"
+
+namespace corianderrail {
+namespace {
+
+leaf_script Script(leaf_status status) {
+  leaf_script script;
+  script.latency = milliseconds(1);
+  script.status = status;
+  return script;
+}
+
+// Guards against lost coverage while a replica is left.
+TEST_CASE("ServiceOwner_DeadReplica_RetriesOnAnother") {
+  owner_fixture bench;
+  bench.Load(200, milliseconds(5));
+  bench.At(0, 0).behave = [](const leaf_request&) {
+    leaf_script script;
+    script.latency = milliseconds(1);
+    script.broken = true;
+    return script;
+  };
+  bench.Load(1000, milliseconds(5));
+  bench.RunFor(milliseconds(500));
+  CHECK(bench.Count(part_status::ok) == 1200);
+  CHECK(bench.LeafRequests() <= 1260);
+}
+
+// Guards against a replica that never replies and takes the tail with it.
+TEST_CASE("ServiceOwner_SilentReplica_IsEjected") {
+  owner_fixture bench;
+  bench.Load(200, milliseconds(5));
+  bench.At(0, 0).behave = [](const leaf_request&) {
+    leaf_script script;
+    script.silent = true;
+    return script;
+  };
+  bench.Load(1000, milliseconds(5));
+  bench.RunFor(milliseconds(500));
+  CHECK(bench.Count(part_status::ok) == 1200);
+  CHECK(bench.owner.Counters().ejections >= 1);
+  CHECK(bench.LeafRequests() <= 1260);
+}
+
+// Guards against a leaf that stays out after it has recovered.
+TEST_CASE("ServiceOwner_RecoveredStraggler_IsReadmitted") {
+  owner_fixture bench;
+  bench.SetLatency(milliseconds(10));
+  bench.Load(200, milliseconds(4));
+  bench.At(0, 0).behave = [](const leaf_request&) {
+    leaf_script script;
+    script.latency = milliseconds(200);
+    return script;
+  };
+  bench.Load(1000, milliseconds(4));
+  CHECK(bench.owner.Counters().ejections == 1);
+  bench.SetLatency(milliseconds(10));
+  bench.Load(1000, milliseconds(4));
+  const std::uint64_t before = bench.At(0, 0).requests;
+  bench.Load(300, milliseconds(4));
+  CHECK(bench.At(0, 0).requests - before >= 50);
+}
+
+// Guards against ejecting so many replicas that the rest cannot serve.
+TEST_CASE("ServiceOwner_TwoStragglersOfThree_EjectsAtMostOne") {
+  owner_fixture bench;
+  bench.SetLatency(milliseconds(10));
+  bench.Load(200, milliseconds(4));
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    bench.At(0, i).behave = [](const leaf_request&) {
+      leaf_script script;
+      script.latency = milliseconds(100);
+      return script;
+    };
+  }
+  bench.Load(50, milliseconds(4));
+  CHECK(bench.owner.Counters().ejections <= 1);
+}
+
+// Guards against new work for a leaf that said in band that it is leaving,
+// and against other hosts that do not learn of it.
+TEST_CASE("ServiceOwner_InBandDrain_StopsWorkAndTellsPeers") {
+  owner_fixture bench;
+  bench.At(0, 0).behave = [](const leaf_request&) {
+    leaf_script script;
+    script.draining = true;
+    return script;
+  };
+  while (bench.At(0, 0).requests == 0) bench.Load(1, milliseconds(20));
+  const std::uint64_t seen = bench.At(0, 0).requests;
+  bench.Load(200, milliseconds(4));
+  bench.RunFor(milliseconds(100));
+  CHECK(bench.At(0, 0).requests == seen);
+  CHECK(bench.Count(part_status::ok) == bench.last_query);
+  REQUIRE(bench.observations.size() == 3);
+  CHECK(bench.observations[0].leaf == bench.Leaf(0, 0));
+  CHECK(bench.observations[0].draining);
+}
+
+// Guards against new work after a sign that came from another host.
+TEST_CASE("ServiceOwner_DrainFromOthers_StopsWork") {
+  const bool by_peer = GENERATE(true, false);
+  owner_fixture bench(1, 2);
+  if (by_peer) {
+    bench.owner.OnLeafObservation({bench.Leaf(0, 0), true}, bench.now,
+                                  bench.effects);
+  } else {
+    bench.owner.OnHostList({true, {{"10.0.0.0", true}}}, bench.now,
+                           bench.effects);
+  }
+  bench.Carry();
+  bench.Load(50, milliseconds(10));
+  CHECK(bench.At(0, 0).requests == 0);
+  CHECK(bench.Count(part_status::ok) == 50);
+  if (by_peer) {
+    bench.owner.OnLeafObservation({bench.Leaf(0, 0), false}, bench.now,
+                                  bench.effects);
+  } else {
+    bench.owner.OnHostList({true, {{"10.0.0.0", false}}}, bench.now,
+                           bench.effects);
+  }
+  bench.Carry();
+  bench.Load(50, milliseconds(10));
+  CHECK(bench.At(0, 0).requests > 0);
+}
+
+// Guards against a drained leaf that never gets work again after a restart.
+TEST_CASE("ServiceOwner_DrainedLeafRestarts_GetsWorkAgain") {
+  owner_fixture bench(1, 2);
+  bench.auto_connect = false;
+  bench.owner.OnLeafObservation({bench.Leaf(0, 0), true}, bench.now,
+                                bench.effects);
+  bench.RunFor(milliseconds(100));
+  bench.SetOpen(bench.Leaf(0, 0), 0);
+  bench.RunFor(milliseconds(2000));
+  bench.SetOpen(bench.Leaf(0, 0), 1);
+  bench.Load(50, milliseconds(10));
+  CHECK(bench.At(0, 0).requests > 0);
+}
+
+// Guards against a wrong_snapshot answer while some replica holds it.
+TEST_CASE("ServiceOwner_OneReplicaLacksSnapshot_UsesAnother") {
+  owner_fixture bench;
+  bench.At(0, 0).behave = [](const leaf_request&) {
+    return Script(leaf_status::wrong_snapshot);
+  };
+  bench.Load(100, milliseconds(5));
+  bench.RunFor(milliseconds(500));
+  CHECK(bench.Count(part_status::ok) == 100);
+}
+
+// Guards against an entry that cannot re-plan because it never learns the
+// newer snapshot.
+TEST_CASE("ServiceOwner_NoReplicaHoldsSnapshot_ReportsNewest") {
+  owner_fixture bench;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    bench.At(0, i).behave = [](const leaf_request&) {
+      leaf_script script = Script(leaf_status::wrong_snapshot);
+      script.newest = snapshot_id{9};
+      return script;
+    };
+  }
+  bench.Load(20, milliseconds(5));
+  bench.RunFor(milliseconds(500));
+  CHECK(bench.Count(part_status::wrong_snapshot) == 20);
+  CHECK(bench.results.back().second.newest == snapshot_id{9});
+}
+
+// Guards against shed requests that are lost or that multiply.
+TEST_CASE("ServiceOwner_SheddingLeaf_RetriesWithinBudget") {
+  owner_fixture bench;
+  bench.At(0, 0).behave = [&](const leaf_request&) {
+    leaf_script script;
+    if (bench.random.Below(10) == 0) script.status = leaf_status::not_run;
+    return script;
+  };
+  bench.Load(2000, milliseconds(5));
+  bench.RunFor(milliseconds(500));
+  CHECK(bench.Count(part_status::ok) == 2000);
+  CHECK(bench.LeafRequests() <= 2110);
+}
+
+// Guards against parts that stay open when their service disappears.
+TEST_CASE("ServiceOwner_ServiceRemoved_AnswersFailed") {
+  owner_fixture bench(2, 1);
+  for (int i = 0; i < 5; ++i) bench.Query();
+  bench.owner.SetTopology(owner_fixture::MakeTopology(1, 1), bench.now,
+                          bench.effects);
+  bench.Carry();
+  CHECK(bench.Count(part_status::failed) == 5);
+  bench.RunFor(milliseconds(500));
+  CHECK(bench.results.size() == 10);
+  CHECK(bench.Count(part_status::ok) == 5);
+  CHECK(bench.owner.Idle());
+}
+
+// Guards against work that is sent although its time ran out in a pause, and
+// against a pause that looks like a slow leaf.
+TEST_CASE("ServiceOwner_ClockGap_DropsExpiredWork") {
+  owner_fixture bench(1, 2);
+  bench.Load(100, milliseconds(10));
+  for (int i = 0; i < 20; ++i) bench.Query();
+  const std::uint64_t before = bench.LeafRequests();
+  bench.now += milliseconds(60'000);
+  bench.owner.OnClockGap(bench.now, bench.effects);
+  bench.Carry();
+  CHECK(bench.results.size() == 120);
+  CHECK(bench.LeafRequests() == before);
+  bench.RunFor(milliseconds(1000));
+  bench.Load(100, milliseconds(10));
+  CHECK(bench.Count(part_status::ok) == 200);
+  CHECK(bench.owner.Counters().ejections == 0);
+}
+
+}  // namespace
+}  // namespace corianderrail
--- a/packages/core/tests/service_owner_test.cpp
+++ b/packages/core/tests/service_owner_test.cpp
@@ -54,17 +54,132 @@
   CHECK(bench.LeafRequests() <= 5250);
 }
 
-// Guards against running a copy of an order that was already taken.
-TEST_CASE("ServiceOwner_DuplicateAttempt_RunsOnce") {
+// Guards against a hedge storm: when all replicas slow down together, hedges
+// help nobody and would double the load.
+TEST_CASE("ServiceOwner_EverythingSlow_KeepsExtraLoadBelowBudget") {
   owner_fixture bench;
-  bench.Order(bench.MakeOrder(1));
-  bench.Order(bench.MakeOrder(1));
-  bench.RunFor(milliseconds(50));
-  bench.Order(bench.MakeOrder(1));
+  bench.SetLatency(milliseconds(8), milliseconds(4));
+  bench.Load(2000, milliseconds(5));
+  const std::uint64_t before = bench.LeafRequests();
+  bench.SetLatency(milliseconds(160), milliseconds(80));
+  bench.Load(1000, milliseconds(50), milliseconds(2000));
+  bench.RunFor(milliseconds(2000));
+  CHECK(bench.LeafRequests() - before <= 1050);
+  CHECK(bench.Count(part_status::ok) == 3000);
+}
+
+// Guards against a flood that starves the other ranks, and against slots
+// spent on work that expires before its reply.
+TEST_CASE("ServiceOwner_UrgentFlood_KeepsFloorsAndGoodput") {
+  owner_fixture bench;
+  bench.SetLatency(milliseconds(8), milliseconds(4));
+  bench.owner.SetFloors({100'000, 200'000, 100'000});
+  // Capacity is 6 slots at 10 ms, 600 parts/s; urgent work comes at 10 times
+  // that, the others below their floors.
+  for (int step = 0; step < 2000; ++step) {
+    for (int i = 0; i < 30; ++i) bench.Query(milliseconds(500), rank::urgent);
+    if (step % 2 == 0) bench.Query(milliseconds(500), rank::normal);
+    if (step % 4 == 0) bench.Query(milliseconds(500), rank::background);
+    bench.RunFor(milliseconds(5));
+  }
+  per_rank<int> ok{};
+  for (const auto& [query, part] : bench.results) {
+    if (part.status == part_status::ok) {
+      ++ok[RankIndex(bench.rank_of.at(query))];
+    }
+  }
+  CHECK(ok[RankIndex(rank::normal)] >= 980);
+  CHECK(ok[RankIndex(rank::background)] >= 490);
+  CHECK(bench.Count(part_status::ok) >= 5700);
+  CHECK(bench.Count(part_status::ok) * 100 >= bench.LeafRequests() * 95);
+  const rank_wait& wait = bench.results.back().second.wait;
+  CHECK(wait[RankIndex(rank::urgent)] > 500'000);
+  CHECK(wait[RankIndex(rank::normal)] < 250'000);
+}
+
+// Guards against work in the leafs for a query that nobody waits for.
+TEST_CASE("ServiceOwner_Cancel_StopsQueuedAndRunningParts") {
+  owner_fixture bench(1, 1);
+  const query_id running = bench.Query();
+  const query_id queued = bench.Query();
+  bench.RunFor(milliseconds(1));
+  for (const query_id query : {running, queued}) {
+    bench.owner.OnSubqueryCancel(bench.FromEntry(), {query}, bench.now,
+                                 bench.effects);
+    bench.Carry();
+  }
+  bench.RunFor(milliseconds(100));
+  CHECK(bench.results.empty());
+  CHECK(bench.cancelled.size() == 1);
   CHECK(bench.LeafRequests() == 1);
-  REQUIRE(bench.orders.size() == 2);
-  CHECK(bench.orders[0].outcome == run_state::ran);
-  CHECK(bench.orders[1].outcome == run_state::ran);
+  CHECK(bench.owner.Idle());
+}
+
+// Guards against replies that come late or twice and reach another request
+// in the same slot of the call table.
+TEST_CASE("ServiceOwner_ReplyTwice_IsIgnored") {
+  owner_fixture bench(1, 1);
+  bench.Query();
+  bench.RunFor(milliseconds(20));
+  bench.Query();
+  leaf_reply late;
+  late.snapshot = kSnapshot;
+  late.payload = "other";
+  bench.owner.OnLeafReply({bench.calls.at(0), late}, bench.now, bench.effects);
+  bench.Carry();
+  CHECK(bench.results.size() == 1);
+  bench.RunFor(milliseconds(20));
+  REQUIRE(bench.results.size() == 2);
+  CHECK(bench.results[1].second.payload.empty());
+}
+
+// Guards against a full load on a process with cold caches.
+TEST_CASE("ServiceOwner_Reconnect_RampsFromOneSlot") {
+  owner_fixture bench(1, 1);
+  bench.Load(50, milliseconds(10));
+  for (const std::uint32_t open : {0U, 4U})
+    bench.SetOpen(bench.Leaf(0, 0), open);
+  bench.At(0, 0).most_running = 0;
+  for (int i = 0; i < 4; ++i) bench.Query();
+  CHECK(bench.At(0, 0).most_running == 1);
+  bench.Load(50, milliseconds(5));
+  CHECK(bench.At(0, 0).most_running == 2);
+}
+
+// Guards against more connections than this owner's part of the limit.
+TEST_CASE("ServiceOwner_Connections_StayWithinPart") {
+  owner_settings settings;
+  settings.connection_share = 100'000;
+  owner_fixture bench(1, 1, settings);
+  CHECK(bench.At(0, 0).target == 2);
+  bench.owner.SetOwned({}, bench.now, bench.effects);
+  bench.Carry();
+  CHECK(bench.At(0, 0).target == 0);
+}
+
+// Guards against work for an unknown part that is answered from a wrong one.
+TEST_CASE("ServiceOwner_UnknownPart_IsReported") {
+  owner_fixture bench(2);
+  subquery_batch batch;
+  batch.query = query_id{1};
+  batch.snapshot = kSnapshot;
+  batch.remaining = milliseconds(100);
+  batch.parts = {{partition_id{0}, service_id{1}},
+                 {partition_id{9}, service_id{0}}};
+  bench.owner.OnSubqueryBatch(bench.FromEntry(), batch, bench.now,
+                              bench.effects);
+  bench.Carry();
+  CHECK(bench.Count(part_status::unknown_part) == 2);
+  CHECK(bench.LeafRequests() == 0);
+  CHECK(bench.owner.Idle());
+}
+
+// Guards against one wake-up per request for timers that are obsolete.
+TEST_CASE("ServiceOwner_HealthyLoad_NeedsFewTicks") {
+  owner_fixture bench;
+  bench.SetLatency(milliseconds(8), milliseconds(4));
+  bench.Load(1000, milliseconds(4));
+  CHECK(bench.events <= 1300);
 }
 
 }  // namespace
