--- a/packages/core/order_table.cpp
+++ b/packages/core/order_table.cpp
@@ -60,6 +60,10 @@
   if (stopped_) {
     refused.reason = refusal_reason::stopping;
     refused.detail = "the host is stopping; ask for other addresses";
+  } else if (request.customer.empty()) {
+    refused.reason = refusal_reason::unknown_customer;
+    refused.detail = "the customer is missing; send its name";
+    refused.retry_after = {};
   } else if (unused + count > std::max(1U, settings_.kept / kUnusedPart)) {
     refused.reason = refusal_reason::rate_limit;
     refused.detail = "too many unused identifiers; use them or ask for fewer";
@@ -203,7 +207,7 @@
     return;
   }
   entry& order = it->second;
-  const bool issued = order.reason != refusal_reason::unknown_order;
+  const bool issued = !order.customer.empty();
   if (issued && order.customer != request.customer) {
     // The order of the rightful customer may have run, so `not_run` would be
     // wrong if the caller only misspelt the name.
--- /dev/null
+++ b/packages/core/tests/answer_policy_test.cpp
@@ -0,0 +1,79 @@
+/** @file answer_policy_test.cpp Tests of the answer policies. */
+
+#include "core/answer_policy.h"
+
+#include <catch2/catch.hpp>
+
+#include "property.h"
+
+namespace corianderrail {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct answer_policy_fixture {
+  answer_progress progress{milliseconds(400), milliseconds(100),
+                           milliseconds(10), 0, 900'000};
+  const answer_policy& latency = PolicyFor(answer_preference::latency);
+  const answer_policy& coverage = PolicyFor(answer_preference::coverage);
+};
+
+// Guards against an early answer below the contract's least coverage.
+TEST_CASE_METHOD(answer_policy_fixture,
+                 "AnswerPolicy_BelowLeastCoverage_WaitsForDeadline") {
+  progress.coverage = 899'999;
+  CHECK(latency.AnswerAfter(progress) == milliseconds(400));
+  CHECK(coverage.AnswerAfter(progress) == milliseconds(400));
+}
+
+// Guards against one straggler that holds every answer up to the target.
+TEST_CASE_METHOD(answer_policy_fixture,
+                 "AnswerPolicy_LatencyWithSmallGain_AnswersBeforeTarget") {
+  progress.coverage = 970'000;
+  CHECK(latency.AnswerAfter(progress) == milliseconds(50));
+  progress.coverage = 999'000;
+  CHECK(latency.AnswerAfter(progress) == milliseconds(20));
+}
+
+// Guards against answering before parts usually arrive, for example right
+// after the start, when nothing is learned yet.
+TEST_CASE_METHOD(answer_policy_fixture,
+                 "AnswerPolicy_LatencyBeforeLearning_WaitsForTarget") {
+  progress.coverage = 999'000;
+  progress.typical_part = {};
+  CHECK(latency.AnswerAfter(progress) == milliseconds(100));
+}
+
+// Guards against giving coverage away when the contract prefers coverage.
+TEST_CASE_METHOD(answer_policy_fixture,
+                 "AnswerPolicy_Coverage_WaitsAtLeastForTarget") {
+  progress.coverage = 999'999;
+  CHECK(coverage.AnswerAfter(progress) == milliseconds(100));
+  progress.coverage = 970'000;
+  CHECK(coverage.AnswerAfter(progress) == milliseconds(400));
+}
+
+// Guards against a policy that waits past the deadline, or that waits less
+// although more is missing.
+TEST_CASE_METHOD(answer_policy_fixture,
+                 "AnswerPolicy_AnyProgress_IsBoundedAndMonotone") {
+  CheckProperty(2, 1'000, [this] {
+    progress.deadline = milliseconds(*rc::gen::inRange(0, 1'000));
+    progress.target = milliseconds(*rc::gen::inRange(0, 1'000));
+    progress.typical_part = milliseconds(*rc::gen::inRange(0, 1'000));
+    progress.min_coverage = *rc::gen::inRange<ppm>(0, kWholePpm + 1);
+    const ppm less = *rc::gen::inRange<ppm>(0, kWholePpm + 1);
+    const ppm more = *rc::gen::inRange<ppm>(less, kWholePpm + 1);
+    for (const auto* policy : {&latency, &coverage}) {
+      progress.coverage = less;
+      const duration longer = policy->AnswerAfter(progress);
+      progress.coverage = more;
+      const duration shorter = policy->AnswerAfter(progress);
+      RC_ASSERT(longer <= progress.deadline);
+      RC_ASSERT(shorter <= longer);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace corianderrail
