--- /dev/null
+++ b/packages/core/tests/query_gather_test.cpp
@@ -0,0 +1,419 @@
+/** @file query_gather_test.cpp Tests of planning, gathering and answering. */
+
+#include "core/query_gather.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "core/coverage.h"
+#include "entry_fixture.h"
+#include "property.h"
+
+namespace corianderrail {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct query_gather_fixture : entry_fixture {
+  explicit query_gather_fixture(std::size_t services = 4)
+      : entry_fixture(services) {
+    gather.SetTopology(map, now);
+    gather.SetMembers(members);
+  }
+
+  void Start(std::uint64_t call = 1, std::string_view customer = "acme") {
+    query_request request;
+    request.request_id = "r" + std::to_string(call);
+    request.customer = customer;
+    request.kind = "search";
+    request.payload = "text";
+    const auto ticket = gate.Admit(customer, "search", work_type::query, {}, {},
+                                   std::nullopt, shares, now, refused, effects);
+    REQUIRE(ticket);
+    gather.Start(call_id{call}, request, *ticket, owners, gate, now, effects);
+  }
+
+  /** Results of all parts of a batch, with a payload named after the part. */
+  static subquery_result ResultOf(const subquery_batch& batch,
+                                  part_status status = part_status::ok) {
+    subquery_result result{batch.query, batch.snapshot, {}};
+    for (const subquery_part& part : batch.parts) {
+      part_result each;
+      each.partition = part.partition;
+      each.service = part.service;
+      each.status = status;
+      each.newest = batch.snapshot;
+      each.payload = PayloadOf(batch.snapshot, part.partition);
+      result.parts.push_back(std::move(each));
+    }
+    return result;
+  }
+
+  static std::string PayloadOf(snapshot_id snapshot, partition_id partition) {
+    return std::to_string(Raw(snapshot)) + "/" + std::to_string(Raw(partition));
+  }
+
+  void Deliver(const send_peer_effect& send, const subquery_result& result) {
+    gather.OnSubqueryResult(From({send.to, send.to_incarnation}), result, gate,
+                            owners, now, effects);
+  }
+
+  /** Answers every batch sent so far except those to `but`. */
+  void AnswerAllBut(host_id but = {}) {
+    for (const auto& [send, batch] : Sent<subquery_batch>()) {
+      if (send.to != but) Deliver(send, ResultOf(batch));
+    }
+  }
+
+  query_answer OnlyAnswer() const {
+    const auto answers = Collect<answer_query_effect>();
+    REQUIRE(answers.size() == 1);
+    return answers[0].answer;
+  }
+
+  void Tick(duration later) {
+    now += later;
+    gather.OnTick(owners, gate, now, effects);
+  }
+
+  query_gather gather{{host_id{1}, incarnation_id{101}}, 1};
+};
+
+// Guards against one message per part, a lost part, and a message that an
+// earlier life of an owner would take.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_Start_SendsOneBatchPerOwnerLife") {
+  Start();
+  std::set<host_id> owners_seen;
+  std::set<partition_id> parts;
+  for (const auto& [send, batch] : Sent<subquery_batch>()) {
+    CHECK(owners_seen.insert(send.to).second);
+    CHECK(Raw(send.to_incarnation) == 100 + Raw(send.to));
+    CHECK_FALSE(send.address.empty());
+    CHECK(batch.remaining == milliseconds(400));
+    for (const auto& part : batch.parts) {
+      CHECK(parts.insert(part.partition).second);
+      CHECK(owners.OwnerOf(part.service)->host == send.to);
+    }
+  }
+  CHECK(parts.size() == 4);
+}
+
+// Guards against an answer that is not whole although all parts came, or that
+// is not in key order.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_AllParts_AnswersCompleteInKeyOrder") {
+  Start();
+  AnswerAllBut();
+  const query_answer answer = OnlyAnswer();
+  CHECK(answer.status == answer_status::complete);
+  CHECK(answer.coverage == kWholePpm);
+  CHECK(answer.missing.empty());
+  CHECK(answer.snapshot == snapshot_id{1});
+  CHECK(answer.request_id == "r1");
+  CHECK(answer.revision == revision_id{7});
+  REQUIRE(answer.parts.size() == 4);
+  for (std::size_t i = 0; i < 4; ++i) {
+    CHECK(answer.parts[i].range ==
+          map->collections[0].maps[0].partitions[i].range);
+    CHECK(answer.parts[i].payload ==
+          PayloadOf(snapshot_id{1}, static_cast<partition_id>(i)));
+  }
+  CHECK(gather.Idle());
+  CHECK(gather.NextWake() == kNever);
+}
+
+// Guards against pinning a map that is still being published.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_NewestMapHasGap_PinsTheOlder") {
+  auto changed = std::make_shared<topology>(*map);
+  partition_map gap = MakeMap(4, snapshot_id{2});
+  gap.partitions.erase(gap.partitions.begin() + 1);
+  changed->collections[0].maps.push_back(gap);
+  gather.SetTopology(changed, now);
+  Start();
+  CHECK(Sent<subquery_batch>().at(0).second.snapshot == snapshot_id{1});
+}
+
+// Guards against an answer or a hang when there is nothing to plan on.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_NoTopology_RefusesAsNotRun") {
+  gather.SetTopology(nullptr, now);
+  Start();
+  const auto refusals = Collect<refuse_effect>();
+  REQUIRE(refusals.size() == 1);
+  CHECK(refusals[0].reason.reason == refusal_reason::no_topology);
+  CHECK(refusals[0].reason.ran == run_state::not_run);
+}
+
+// Guards against an answer below the least coverage before the deadline, and
+// against one that does not say that it is incomplete.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_TooFewParts_AnswersIncompleteAtDeadline") {
+  Start();
+  Tick(milliseconds(399));
+  CHECK(Collect<answer_query_effect>().empty());
+  Tick(milliseconds(1));
+  const query_answer answer = OnlyAnswer();
+  CHECK(answer.status == answer_status::incomplete);
+  CHECK(answer.coverage == 0);
+  CHECK(answer.missing == std::vector<key_range>{{0, kLastKey}});
+  CHECK(answer.elapsed == milliseconds(400));
+}
+
+// Guards against owners that keep working for an answer already sent.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_EarlyAnswer_CancelsOpenParts") {
+  Start();
+  const auto sent = Sent<subquery_batch>();
+  const auto smallest = std::min_element(
+      sent.begin(), sent.end(), [](const auto& a, const auto& b) {
+        return a.second.parts.size() < b.second.parts.size();
+      });
+  AnswerAllBut(smallest->first.to);
+  REQUIRE(Collect<answer_query_effect>().empty());
+  Tick(milliseconds(100));
+  CHECK(OnlyAnswer().status == answer_status::partial);
+  const auto cancels = Sent<subquery_cancel>();
+  REQUIRE(cancels.size() == 1);
+  CHECK(cancels[0].first.to == smallest->first.to);
+  CHECK(cancels[0].second.query == sent[0].second.query);
+}
+
+// Guards against work for a caller that has closed its connection.
+TEST_CASE_METHOD(query_gather_fixture, "QueryGather_CallerGone_CancelsAll") {
+  Start();
+  gather.OnCallerGone(call_id{1}, gate, now, effects);
+  CHECK(Sent<subquery_cancel>().size() == Sent<subquery_batch>().size());
+  CHECK(gather.Idle());
+  AnswerAllBut();
+  CHECK(Collect<answer_query_effect>().empty());
+}
+
+// Guards against results counted twice, taken from the wrong sender, service
+// or snapshot, or for a partition that does not exist.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_MismatchedResults_AreIgnoredAndCounted") {
+  Start();
+  const auto [send, batch] = Sent<subquery_batch>().at(0);
+  subquery_result wrong = ResultOf(batch);
+  wrong.parts.resize(1);
+  SECTION("service") { wrong.parts[0].service = service_id{99}; }
+  SECTION("snapshot") { wrong.snapshot = snapshot_id{2}; }
+  SECTION("partition") { wrong.parts[0].partition = partition_id{99}; }
+  SECTION("query") { wrong.query = query_id{99}; }
+  Deliver(send, wrong);
+  CHECK(gather.Counters().stray == 1);
+  send_peer_effect elsewhere = send;
+  elsewhere.to_incarnation = incarnation_id{1};
+  subquery_result old_life = ResultOf(batch);
+  Deliver(elsewhere, old_life);
+  CHECK(gather.Counters().stray == 1 + old_life.parts.size());
+  AnswerAllBut();
+  CHECK(OnlyAnswer().status == answer_status::complete);
+}
+
+// Guards against a mixed snapshot: after a new plan, parts of the former one
+// must not count.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_WrongSnapshot_ReplansWholeQueryOnce") {
+  Start();
+  const auto first = Sent<subquery_batch>();
+  effects.clear();
+  PublishTopology(4, {snapshot_id{1}, snapshot_id{2}});
+  gather.SetTopology(map, now);
+  Deliver(first[0].first,
+          ResultOf(first[0].second, part_status::wrong_snapshot));
+  CHECK(gather.Counters().replanned == 1);
+  const auto second = Sent<subquery_batch>();
+  REQUIRE(second.size() == first.size());
+  CHECK(second[0].second.snapshot == snapshot_id{2});
+  CHECK(second[0].second.query != first[0].second.query);
+  for (std::size_t i = 1; i < first.size(); ++i) {
+    Deliver(first[i].first, ResultOf(first[i].second));
+  }
+  CHECK(Collect<answer_query_effect>().empty());
+  for (const auto& [send, batch] : second) Deliver(send, ResultOf(batch));
+  const query_answer answer = OnlyAnswer();
+  CHECK(answer.snapshot == snapshot_id{2});
+  CHECK(answer.status == answer_status::complete);
+  for (const auto& part : answer.parts)
+    CHECK(part.payload.substr(0, 2) == "2/");
+}
+
+// Guards against losing what the pinned snapshot gave when there is nothing
+// newer to plan on.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_WrongSnapshotWithoutNewer_AnswersWithPinned") {
+  Start();
+  const auto sent = Sent<subquery_batch>();
+  std::size_t answered = 0;
+  for (std::size_t i = 0; i < sent.size(); ++i) {
+    const auto status = i == 0 ? part_status::wrong_snapshot : part_status::ok;
+    if (i != 0) answered += sent[i].second.parts.size();
+    Deliver(sent[i].first, ResultOf(sent[i].second, status));
+  }
+  const query_answer answer = OnlyAnswer();
+  CHECK(answer.snapshot == snapshot_id{1});
+  CHECK(answer.parts.size() == answered);
+  CHECK(answer.coverage < kWholePpm);
+}
+
+// Guards against an incomplete answer in the moment in which a leaf has a
+// newer snapshot and this host has not yet received its map.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_NewerSnapshotNamed_WaitsForItsMap") {
+  Start();
+  for (const auto& [send, batch] : Sent<subquery_batch>()) {
+    auto result = ResultOf(batch, part_status::wrong_snapshot);
+    for (auto& part : result.parts) part.newest = snapshot_id{2};
+    Deliver(send, result);
+  }
+  CHECK(Collect<answer_query_effect>().empty());
+  effects.clear();
+  now += milliseconds(50);
+  PublishTopology(4, {snapshot_id{2}});
+  gather.SetTopology(map, now);
+  gather.OnOwnersChanged(owners, gate, now, effects);
+  AnswerAllBut();
+  CHECK(OnlyAnswer().snapshot == snapshot_id{2});
+}
+
+// Guards against waiting for parts of a host that is gone, and against
+// re-sends beyond 5% of all parts or more than once.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_OwnerGone_ResendsMissingPartsWithinBudget") {
+  // 40 queries of 4 parts allow 8 re-sent parts.
+  for (std::uint64_t call = 1; call <= 40; ++call) Start(call);
+  const host_id lost = Sent<subquery_batch>().at(0).first.to;
+  const auto before = Sent<subquery_batch>();
+  effects.clear();
+  std::erase_if(members, [&](const auto& m) { return m.ref.host == lost; });
+  owners.SetMembers(members);
+  gather.SetMembers(members);
+  gather.OnOwnersChanged(owners, gate, now, effects);
+  std::size_t resent = 0;
+  for (const auto& [send, batch] : Sent<subquery_batch>()) {
+    CHECK(send.to != lost);
+    resent += batch.parts.size();
+  }
+  CHECK(resent == 8);
+  CHECK(gather.Counters().resent == 8);
+  for (const auto& [send, batch] : before) {
+    if (send.to != lost) Deliver(send, ResultOf(batch));
+  }
+  AnswerAllBut();
+  CHECK_FALSE(Collect<answer_query_effect>().empty());
+  effects.clear();
+  gather.OnOwnersChanged(owners, gate, now, effects);
+  CHECK(Sent<subquery_batch>().empty());
+}
+
+// Guards against a re-send to a host that only hands its services over: it
+// finishes the parts that it has.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_OwnerLeaving_DoesNotResend") {
+  for (std::uint64_t call = 1; call <= 40; ++call) Start(call);
+  const host_id leaving = Sent<subquery_batch>().at(0).first.to;
+  effects.clear();
+  for (auto& member : members) {
+    if (member.ref.host == leaving) member.state = member_state::leaving;
+  }
+  owners.SetMembers(members);
+  gather.SetMembers(members);
+  gather.OnOwnersChanged(owners, gate, now, effects);
+  CHECK(Sent<subquery_batch>().empty());
+}
+
+// Guards against queries that survive a pause of the process past their
+// deadline.
+TEST_CASE_METHOD(query_gather_fixture,
+                 "QueryGather_ClockGap_AnswersExpiredQueries") {
+  Start();
+  now += std::chrono::seconds(60);
+  gather.OnClockGap(gate, now, effects);
+  CHECK(OnlyAnswer().status == answer_status::incomplete);
+  CHECK(gather.Idle());
+}
+
+// Guards against any mix of late, duplicated, crossed and foreign results that
+// changes an answer: it must hold exactly the parts that the open query was
+// sent, from one snapshot, with the coverage that a naive count gives.
+TEST_CASE("QueryGather_AnyArrivalOrder_MatchesNaiveMerge") {
+  CheckProperty(3, 300, [] {
+    query_gather_fixture f(*rc::gen::inRange<std::size_t>(1, 12));
+    const auto count = *rc::gen::inRange<std::uint64_t>(1, 4);
+    for (std::uint64_t call = 1; call <= count; ++call) f.Start(call);
+    const auto sent = f.Sent<subquery_batch>();
+    std::map<query_id, std::set<partition_id>> delivered;
+    std::map<query_id, std::uint64_t> call_of;
+    std::uint64_t next = 0;
+    for (const auto& [send, batch] : sent) {
+      if (!call_of.contains(batch.query)) call_of[batch.query] = ++next;
+    }
+    const int steps = *rc::gen::inRange(0, 60);
+    for (int step = 0; step < steps; ++step) {
+      const auto& [send, batch] =
+          sent[*rc::gen::inRange<std::size_t>(0, sent.size())];
+      subquery_result result = f.ResultOf(batch);
+      const auto keep = *rc::gen::inRange<std::size_t>(0, result.parts.size());
+      result.parts = {result.parts[keep]};
+      const int fault = *rc::gen::inRange(0, 8);
+      if (fault == 0) result.snapshot = snapshot_id{9};
+      if (fault == 1) result.parts[0].service = service_id{9'999};
+      if (fault == 2) result.query = query_id{9'999};
+      if (fault == 3) result.parts[0].payload.clear();
+      send_peer_effect from = send;
+      if (fault == 4) from.to_incarnation = incarnation_id{1};
+      const auto open = [&] {
+        const auto answers = f.Collect<answer_query_effect>();
+        return std::none_of(answers.begin(), answers.end(), [&](auto& a) {
+          return Raw(a.call) == call_of[batch.query];
+        });
+      }();
+      const bool valid = fault == 3 || fault > 4;
+      if (valid && open) {
+        if (fault == 3) {
+          result.parts[0].payload =
+              f.PayloadOf(batch.snapshot, result.parts[0].partition);
+        }
+        delivered[batch.query].insert(result.parts[0].partition);
+      }
+      f.Deliver(from, result);
+    }
+    f.Tick(std::chrono::seconds(1));
+    const auto answers = f.Collect<answer_query_effect>();
+    RC_ASSERT(answers.size() == count);
+    const partition_map& pinned = f.map->collections[0].maps[0];
+    for (const auto& [query, call] : call_of) {
+      const auto found =
+          std::find_if(answers.begin(), answers.end(),
+                       [&, c = call](auto& a) { return Raw(a.call) == c; });
+      RC_ASSERT(found != answers.end());
+      const query_answer& answer = found->answer;
+      const auto& expected = delivered[query];
+      RC_ASSERT(answer.request_id == "r" + std::to_string(call));
+      RC_ASSERT(answer.snapshot == pinned.snapshot);
+      RC_ASSERT(answer.parts.size() == expected.size());
+      std::vector<std::uint8_t> flags(pinned.partitions.size());
+      std::size_t position = 0;
+      for (const partition_id id : expected) {
+        flags[Raw(id)] = 1;
+        RC_ASSERT(answer.parts[position].payload ==
+                  f.PayloadOf(pinned.snapshot, id));
+        RC_ASSERT(answer.parts[position].range ==
+                  pinned.partitions[Raw(id)].range);
+        ++position;
+      }
+      const coverage_result naive = MeasureCoverage(pinned, flags);
+      RC_ASSERT(answer.coverage == naive.share);
+      RC_ASSERT(answer.missing == naive.missing);
+    }
+    RC_ASSERT(f.gather.Idle());
+  });
+}
+
+}  // namespace
+}  // namespace corianderrail
