--- a/packages/core/host_reducer.cpp
+++ b/packages/core/host_reducer.cpp
@@ -91,7 +91,8 @@
   const auto set = contracts.InForce();
   const auto map = contracts.Topology();
   peer_message message;
-  message.from = self;
+  // Membership raises the incarnation when a peer knows a higher one.
+  message.from = members.Self().ref;
   message.to_incarnation = effect.to_incarnation;
   message.revision = Revision();
   message.contract_digest = set ? set->digest : 0;
@@ -147,7 +148,8 @@
                                  effect_list& effects) {
   // A message for an earlier life of this host must not act on this one.
   if (message.to_incarnation != incarnation_id{} &&
-      message.to_incarnation != self.incarnation) {
+      message.to_incarnation != self.incarnation &&
+      message.to_incarnation != members.Self().ref.incarnation) {
     return;
   }
   shares.OnContact(message.from.host, now);
--- /dev/null
+++ b/packages/core/member_table.cpp
@@ -0,0 +1,93 @@
+/** @file member_table.cpp Precedence of records and probing order. */
+
+#include "core/member_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderrail {
+
+bool Supersedes(const member_record& fresh, const member_record& held) {
+  if (fresh.ref.incarnation != held.ref.incarnation) {
+    return fresh.ref.incarnation > held.ref.incarnation;
+  }
+  if (fresh.version != held.version) return fresh.version > held.version;
+  return fresh.state > held.state;
+}
+
+member_entry* member_table::Find(host_id host) {
+  const auto found = entries_.find(host);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+const member_entry* member_table::Find(host_id host) const {
+  const auto found = entries_.find(host);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+member_entry& member_table::Add(const member_record& record,
+                                random_source& random) {
+  const host_id host = record.ref.host;
+  order_.push_back(host);
+  std::swap(order_[random.Below(order_.size())], order_.back());
+  member_entry& entry = entries_[host];
+  SetRecord(entry, record);
+  return entry;
+}
+
+void member_table::Remove(host_id host) {
+  std::erase(order_, host);
+  suspects_.erase(host);
+  gone_.erase(host);
+  entries_.erase(host);
+}
+
+void member_table::SetRecord(member_entry& entry, const member_record& record) {
+  entry.record = record;
+  SetDeadline(entry, kNever);
+  if (record.state == member_state::gone) {
+    gone_.insert(record.ref.host);
+  } else {
+    gone_.erase(record.ref.host);
+  }
+}
+
+void member_table::SetDeadline(member_entry& entry, time_point deadline) {
+  entry.deadline = deadline;
+  entry.last_probe_sent = false;
+  if (deadline == kNever) {
+    suspects_.erase(entry.record.ref.host);
+  } else {
+    suspects_.insert(entry.record.ref.host);
+  }
+}
+
+/** Every member once per pass, so that detection time is bounded. */
+member_entry* member_table::NextToProbe(random_source& random) {
+  for (std::size_t tries = 0; tries < order_.size(); ++tries) {
+    if (position_ >= order_.size()) {
+      std::shuffle(order_.begin(), order_.end(), random);
+      position_ = 0;
+    }
+    member_entry* entry = Find(order_[position_++]);
+    if (entry->record.state != member_state::gone) return entry;
+  }
+  return nullptr;
+}
+
+std::vector<member_entry*> member_table::Sample(std::size_t count,
+                                                host_id except,
+                                                random_source& random) {
+  std::vector<member_entry*> result;
+  if (order_.empty()) return result;
+  // A random stretch of a shuffled order is a random sample.
+  const std::size_t start = random.Below(order_.size());
+  for (std::size_t i = 0; i < order_.size() && result.size() < count; ++i) {
+    member_entry* entry = Find(order_[(start + i) % order_.size()]);
+    if (entry->record.state == member_state::gone) continue;
+    if (entry->record.ref.host != except) result.push_back(entry);
+  }
+  return result;
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/membership.cpp
@@ -0,0 +1,358 @@
+/** @file membership.cpp Records, refutation and messages of membership. */
+
+#include "core/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <utility>
+
+#include "core/host_address.h"
+
+namespace corianderrail {
+
+namespace {
+
+// A direct reply to a doubtful sender is not repeated within this time.
+constexpr duration kClaimPeriod = std::chrono::milliseconds(200);
+
+// Members for which the suspicion time-out is the one in the settings.
+constexpr double kBaseMembers = 8;
+
+// Factor of log2(members) by which an update is sent; at 5% loss it leaves no
+// member out.
+constexpr std::uint32_t kResendFactor = 3;
+
+}  // namespace
+
+membership::membership(member_record self, membership_settings settings,
+                       std::uint64_t seed)
+    : self_(std::move(self)), settings_(std::move(settings)), random_(seed) {
+  for (const std::string& seed_address : settings_.seeds) AddHint(seed_address);
+  for (const auto& [host, address] : hints_) seeds_.push_back(address);
+}
+
+void membership::AddHint(const std::string& address) {
+  const host_id host = HostIdOf(address);
+  if (host == self_.ref.host || address == self_.peer_address) return;
+  hints_[host] = address;
+}
+
+void membership::Start(time_point now, effect_list& effects) {
+  started_ = true;
+  alone_since_ = now;
+  const auto period =
+      static_cast<std::uint64_t>(settings_.probe_period.count());
+  // A random phase spreads the probes of hosts that start together.
+  next_probe_ = now + duration(random_.Below(period));
+  next_rejoin_ = now + settings_.rejoin_period;
+  next_sync_ = now + SyncPeriod();
+  Join(now, effects);
+}
+
+void membership::OnProbe(const peer_message& from, const probe& body,
+                         time_point now, effect_list& effects) {
+  Merge(body.updates, record_source::update, now);
+  OnSender(from, true, now, effects);
+  probe_ack ack;
+  ack.sequence = body.sequence;
+  ack.target = self_.ref.host;
+  ack.updates = UpdatesFor(from.from.host);
+  effects.push_back(
+      send_peer_effect{from.from.host, from.from_address, {}, std::move(ack)});
+}
+
+void membership::OnProbeRequest(const peer_message& from,
+                                const probe_request& body, time_point now,
+                                effect_list& effects) {
+  Merge(body.updates, record_source::update, now);
+  OnSender(from, false, now, effects);
+  const member_entry* target = table_.Find(body.target);
+  if (target == nullptr) return;
+  probe relayed;
+  relayed.sequence = ++sequence_;
+  relayed.on_behalf_of = from.from.host;
+  relayed.updates = UpdatesFor(body.target);
+  relayed_[relayed.sequence] = {from.from.host, from.from_address,
+                                body.sequence, now + settings_.probe_period};
+  effects.push_back(send_peer_effect{
+      body.target, target->record.peer_address, {}, std::move(relayed)});
+}
+
+void membership::OnProbeAck(const peer_message& from, const probe_ack& body,
+                            time_point now, effect_list& effects) {
+  Merge(body.updates, record_source::update, now);
+  OnSender(from, false, now, effects);
+  const auto relayed = relayed_.find(body.sequence);
+  if (relayed != relayed_.end()) {
+    probe_ack forward;
+    forward.sequence = relayed->second.sequence;
+    forward.target = body.target;
+    forward.updates = UpdatesFor(relayed->second.requester);
+    // The requester needs the refutation of the member that it asked about.
+    const member_entry* target = table_.Find(body.target);
+    if (target != nullptr) forward.updates.push_back(target->record);
+    effects.push_back(send_peer_effect{relayed->second.requester,
+                                       relayed->second.address,
+                                       {},
+                                       std::move(forward)});
+    relayed_.erase(relayed);
+    return;
+  }
+  const auto found = probes_.find(body.sequence);
+  if (found == probes_.end() || found->second.target != body.target) return;
+  probes_.erase(found);
+  member_entry* target = table_.Find(body.target);
+  if (target == nullptr) return;
+  target->heard = now;
+}
+
+void membership::OnMemberSync(const peer_message& from, const member_sync& body,
+                              time_point now, effect_list& effects) {
+  Merge(body.members, record_source::sync, now);
+  OnSender(from, body.want_reply, now, effects);
+  if (!body.want_reply) return;
+  SendSync(from.from.host, from.from_address, false, true, effects);
+}
+
+void membership::OnHostList(const host_list_event& list, time_point now,
+                            effect_list& effects) {
+  list_seen_ = true;
+  if (list.reachable) {
+    hints_.clear();
+    for (const std::string& seed : seeds_) AddHint(seed);
+    for (const host_list_entry& entry : list.entries) AddHint(entry.address);
+    if (!confirmed_) next_join_ = std::min(next_join_, now);
+  }
+  if (started_) OnTick(now, effects);
+}
+
+void membership::Merge(std::span<const member_record> records,
+                       record_source source, time_point now) {
+  for (const member_record& record : records) MergeOne(record, source, now);
+}
+
+void membership::MergeOne(const member_record& record, record_source source,
+                          time_point now) {
+  if (record.ref.host == self_.ref.host) {
+    RefuteClaim(record);
+    return;
+  }
+  member_entry* entry = table_.Find(record.ref.host);
+  if (entry == nullptr) {
+    if (record.state == member_state::gone) return;
+    entry = &table_.Add(record, random_);
+    entry->since = now;
+    if (record.state == member_state::suspect) {
+      table_.SetDeadline(*entry, now + Suspicion());
+    }
+    updates_.Put(record.ref.host, Resends());
+    ++generation_;
+    return;
+  }
+  member_record& held = entry->record;
+  if (Supersedes(record, held)) {
+    member_record fresh = record;
+    // A whole table tells what another part of the fleet believes, possibly
+    // from before a partition healed. The member gets time to refute it.
+    const bool same_life = record.ref == held.ref &&
+                           record.version == held.version &&
+                           held.state != member_state::gone;
+    if (source == record_source::sync && same_life &&
+        record.state == member_state::gone) {
+      fresh.state = member_state::suspect;
+      if (!Supersedes(fresh, held)) return;
+    }
+    Apply(fresh, now);
+    return;
+  }
+  if (record.ref != held.ref) return;
+  if (record.revision > held.revision) held.revision = record.revision;
+  const bool disputed = held.state == member_state::gone &&
+                        record.state != member_state::gone &&
+                        source == record_source::sync;
+  if (disputed) doubtful_.push_back(record.ref.host);
+}
+
+/** Any record about this host that it did not issue itself is outbid. */
+void membership::RefuteClaim(const member_record& claim) {
+  if (claim.ref.incarnation > self_.ref.incarnation) {
+    // The clock that incarnations come from went back, or the record is
+    // wrong. Only a higher incarnation replaces it.
+    self_.ref.incarnation = incarnation_id{Raw(claim.ref.incarnation) + 1};
+    self_.version = 0;
+    SelfChanged();
+    return;
+  }
+  if (claim.ref.incarnation < self_.ref.incarnation) return;
+  if (claim.version < self_.version) return;
+  const bool accused =
+      claim.state == member_state::suspect || claim.state == member_state::gone;
+  if (!accused && claim.version == self_.version) return;
+  self_.version = claim.version + 1;
+  SelfChanged();
+}
+
+void membership::Apply(const member_record& record, time_point now) {
+  member_entry& entry = *table_.Find(record.ref.host);
+  const bool visible = entry.record.ref != record.ref ||
+                       entry.record.state != record.state ||
+                       entry.record.ready != record.ready ||
+                       entry.record.capacity != record.capacity;
+  member_record fresh = record;
+  if (fresh.ref == entry.record.ref) {
+    fresh.revision = std::max(fresh.revision, entry.record.revision);
+  }
+  table_.SetRecord(entry, fresh);
+  entry.since = now;
+  if (record.state == member_state::suspect) {
+    table_.SetDeadline(entry, now + Suspicion());
+  }
+  updates_.Put(record.ref.host, Resends());
+  if (visible) ++generation_;
+}
+
+/**
+ * Notes contact with the sender.
+ * @param replies True when a reply is sent anyway, which carries the claim.
+ */
+void membership::OnSender(const peer_message& from, bool replies,
+                          time_point now, effect_list& effects) {
+  if (from.from.host == self_.ref.host) return;
+  if (!confirmed_) ++generation_;
+  confirmed_ = true;
+  member_entry* entry = table_.Find(from.from.host);
+  if (entry == nullptr) {
+    if (now < next_sync_request_) return;
+    next_sync_request_ = now + std::chrono::seconds(1);
+    SendSync(from.from.host, from.from_address, true, false, effects);
+    return;
+  }
+  member_record& record = entry->record;
+  entry->heard = now;
+  if (record.ref == from.from && from.revision > record.revision) {
+    record.revision = from.revision;
+  }
+  if (record.state == member_state::leaving) {
+    table_.SetDeadline(*entry, kNever);
+  }
+  // A sender that is taken for gone learns of it and refutes.
+  const bool wrong = record.state == member_state::suspect ||
+                     record.state == member_state::gone ||
+                     record.ref.incarnation > from.from.incarnation;
+  if (!wrong || replies || now < entry->claim_sent + kClaimPeriod) return;
+  entry->claim_sent = now;
+  SendProbe(*entry, false, now, effects);
+}
+
+/** Records for a message: what the receiver must refute, self, then news. */
+std::vector<member_record> membership::UpdatesFor(host_id receiver) {
+  std::vector<member_record> result;
+  const member_entry* known = table_.Find(receiver);
+  if (known != nullptr && known->record.state != member_state::alive) {
+    result.push_back(known->record);
+  }
+  result.push_back(self_);
+  for (const host_id host : updates_.Take(settings_.updates_per_message)) {
+    const member_entry* entry = table_.Find(host);
+    if (entry != nullptr) result.push_back(entry->record);
+  }
+  return result;
+}
+
+std::uint32_t membership::Resends() const {
+  const auto members = static_cast<std::uint64_t>(table_.Present() + 1);
+  return kResendFactor *
+         std::max<std::uint32_t>(
+             static_cast<std::uint32_t>(std::bit_width(members)), 2);
+}
+
+duration membership::Suspicion() const {
+  const auto members = static_cast<double>(table_.Present() + 1);
+  const double scale =
+      std::max(std::log2(members) / std::log2(kBaseMembers), 1.0);
+  return duration(static_cast<duration::rep>(
+      static_cast<double>(settings_.suspicion.count()) * scale));
+}
+
+void membership::SelfChanged() {
+  urgent_ = true;
+  ++generation_;
+}
+
+void membership::SendSync(host_id host, const std::string& address,
+                          bool want_reply, bool whole, effect_list& effects) {
+  member_sync sync;
+  sync.want_reply = want_reply;
+  sync.members.push_back(self_);
+  if (whole) {
+    table_.Visit([&](const member_entry& entry) {
+      sync.members.push_back(entry.record);
+    });
+  }
+  effects.push_back(send_peer_effect{host, address, {}, std::move(sync)});
+}
+
+void membership::SetReady(bool ready) {
+  if (self_.ready == ready) return;
+  self_.ready = ready;
+  ++self_.version;
+  SelfChanged();
+}
+
+/** Every message carries this host's record, so no update is queued. */
+void membership::SetRevision(revision_id revision) {
+  self_.revision = revision;
+}
+
+void membership::SetLeaving() {
+  if (self_.state == member_state::leaving) return;
+  self_.state = member_state::leaving;
+  ++self_.version;
+  SelfChanged();
+}
+
+void membership::OnClockGap(time_point now, effect_list& effects) {
+  probes_.clear();
+  relayed_.clear();
+  confirmed_ = false;
+  alone_ = false;
+  alone_since_ = now;
+  ++generation_;
+  // Time did not pass for this host, so no member had time to refute.
+  const std::vector<host_id> suspects(table_.Suspects().begin(),
+                                      table_.Suspects().end());
+  for (const host_id host : suspects) {
+    table_.SetDeadline(*table_.Find(host), now + Suspicion());
+  }
+  next_probe_ = now;
+  next_sync_ = now + SyncPeriod();
+  Join(now, effects);
+}
+
+bool membership::Confirmed() const { return confirmed_ || alone_; }
+
+std::vector<member_record> membership::Members() const {
+  std::vector<member_record> result;
+  result.reserve(table_.Size() + 1);
+  result.push_back(self_);
+  table_.Visit(
+      [&](const member_entry& entry) { result.push_back(entry.record); });
+  std::sort(result.begin(), result.end(),
+            [](const member_record& a, const member_record& b) {
+              return a.ref.host < b.ref.host;
+            });
+  return result;
+}
+
+const member_record& membership::Self() const { return self_; }
+
+const member_record* membership::Find(host_id host) const {
+  if (host == self_.ref.host) return &self_;
+  const member_entry* entry = table_.Find(host);
+  return entry == nullptr ? nullptr : &entry->record;
+}
+
+std::uint64_t membership::Generation() const { return generation_; }
+
+}  // namespace corianderrail
--- a/packages/core/membership.h
+++ b/packages/core/membership.h
@@ -3,16 +3,20 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "core/effect_type.h"
 #include "core/event_type.h"
+#include "core/member_table.h"
 #include "core/member_type.h"
 #include "core/random.h"
 #include "core/time_type.h"
+#include "core/update_queue.h"
 
 namespace corianderrail {
 
@@ -20,7 +24,7 @@
 struct membership_settings {
   duration probe_period = std::chrono::milliseconds(500);   ///< Between probes.
   duration probe_timeout = std::chrono::milliseconds(200);  ///< Direct probe.
-  duration suspicion = std::chrono::milliseconds(2500);     ///< Until gone.
+  duration suspicion = std::chrono::milliseconds(2000);     ///< At 8 members.
   std::uint32_t indirect_probes = 3;                        ///< Helpers asked.
   std::uint32_t updates_per_message = 8;                    ///< Piggybacked.
   duration rejoin_period = std::chrono::seconds(10);        ///< Retry of gone.
@@ -68,6 +72,85 @@
 
   /** Rises whenever Members() changes in a way others can see. */
   std::uint64_t Generation() const;
+
+ private:
+  /** A probe that was not acknowledged yet. */
+  struct open_probe {
+    host_id target{};            ///< Member probed.
+    time_point direct_end{};     ///< When helpers are asked.
+    time_point end{};            ///< When the member becomes suspect.
+    bool helpers_asked = false;  ///< Indirect probes were sent.
+    bool accuses = false;        ///< Without an answer, the member is suspect.
+  };
+
+  /** A probe sent for another member. */
+  struct relayed_probe {
+    host_id requester{};         ///< Member that asked.
+    std::string address;         ///< Its peer address.
+    std::uint64_t sequence = 0;  ///< Sequence of its probe.
+    time_point end{};            ///< When to forget it.
+  };
+
+  /** How records reached this host. */
+  enum class record_source : std::uint8_t { update, sync };
+
+  // membership.cpp
+  void Merge(std::span<const member_record> records, record_source source,
+             time_point now);
+  void MergeOne(const member_record& record, record_source source,
+                time_point now);
+  void RefuteClaim(const member_record& claim);
+  void Apply(const member_record& record, time_point now);
+  void OnSender(const peer_message& from, bool replies, time_point now,
+                effect_list& effects);
+  std::vector<member_record> UpdatesFor(host_id receiver);
+  std::uint32_t Resends() const;
+  duration Suspicion() const;
+  void SelfChanged();
+  void SendSync(host_id host, const std::string& address, bool want_reply,
+                bool whole, effect_list& effects);
+  void AddHint(const std::string& address);
+
+  // membership_probe.cpp
+  void SendProbe(const member_entry& target, bool accuses, time_point now,
+                 effect_list& effects);
+  void ProbeNext(time_point now, effect_list& effects);
+  void ProbeDoubtful(time_point now, effect_list& effects);
+  void CheckProbes(time_point now, effect_list& effects);
+  void AskHelpers(std::uint64_t sequence, const open_probe& probe,
+                  effect_list& effects);
+  void Accuse(host_id host, time_point now);
+  void CheckSuspects(time_point now, effect_list& effects);
+  void SpreadAtOnce(time_point now, effect_list& effects);
+  void Join(time_point now, effect_list& effects);
+  void Rejoin(time_point now, effect_list& effects);
+  void SyncSometimes(time_point now, effect_list& effects);
+  duration SyncPeriod();
+  void CheckAlone(time_point now);
+
+  member_record self_;
+  membership_settings settings_;
+  random_source random_;
+  member_table table_;
+  update_queue updates_;
+  std::map<std::uint64_t, open_probe> probes_;      ///< By sequence.
+  std::map<std::uint64_t, relayed_probe> relayed_;  ///< By sequence.
+  std::map<host_id, std::string> hints_;            ///< Seeds and host list.
+  std::vector<std::string> seeds_;                  ///< Without this host.
+  std::deque<host_id> doubtful_;  ///< Gone here, alive elsewhere.
+  std::uint64_t sequence_ = 0;
+  std::uint64_t generation_ = 1;
+  bool started_ = false;
+  bool urgent_ = false;     ///< This host's own state must spread at once.
+  bool confirmed_ = false;  ///< A peer was heard of.
+  bool alone_ = false;      ///< No other host is known or answers.
+  bool list_seen_ = false;  ///< The host list was read or is unreachable.
+  time_point alone_since_{};
+  time_point next_probe_{};
+  time_point next_join_{};
+  time_point next_rejoin_{};
+  time_point next_sync_{};
+  time_point next_sync_request_{};
 };
 
 }  // namespace corianderrail
--- /dev/null
+++ b/packages/core/membership_probe.cpp
@@ -0,0 +1,267 @@
+/** @file membership_probe.cpp Probing, suspicion, joining and syncing. */
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "core/host_address.h"
+#include "core/membership.h"
+
+namespace corianderrail {
+
+namespace {
+
+// Peers asked at the same time when joining; one lost message must not delay
+// the start by a second.
+constexpr std::size_t kJoinFanout = 3;
+constexpr duration kJoinPeriod = std::chrono::seconds(1);
+
+// A host that reaches none of the hosts it knows of goes on alone after this.
+// Otherwise the last host of a fleet could not restart.
+constexpr duration kAloneAfter = std::chrono::seconds(10);
+
+// Without seeds, the host list decides; it may be unreachable.
+constexpr duration kListWait = std::chrono::seconds(2);
+
+// Probes sent at once when this host's own state changes.
+constexpr std::size_t kUrgentFanout = 8;
+
+// Gone members kept, so that old records of them are recognized.
+constexpr duration kForgetAfter = std::chrono::minutes(5);
+
+// Members per period whose absence another host disputes.
+constexpr std::size_t kDoubtfulPerPeriod = 4;
+
+// Least time between whole tables, and the bytes of a table that may be sent
+// per second: a tenth of the 10 KB/s that control may cost.
+constexpr double kSyncLeastSeconds = 30;
+constexpr double kSyncBytesPerSecond = 1000;
+constexpr double kRecordBytes = 130;
+
+}  // namespace
+
+void membership::SendProbe(const member_entry& target, bool accuses,
+                           time_point now, effect_list& effects) {
+  const host_id host = target.record.ref.host;
+  probe message;
+  message.sequence = ++sequence_;
+  message.updates = UpdatesFor(host);
+  probes_[message.sequence] = {host, now + settings_.probe_timeout,
+                               now + settings_.probe_period, false, accuses};
+  effects.push_back(send_peer_effect{
+      host, target.record.peer_address, {}, std::move(message)});
+}
+
+void membership::ProbeNext(time_point now, effect_list& effects) {
+  if (now < next_probe_) return;
+  next_probe_ = std::max(next_probe_ + settings_.probe_period,
+                         now + settings_.probe_period / 2);
+  const member_entry* target = table_.NextToProbe(random_);
+  if (target != nullptr) SendProbe(*target, true, now, effects);
+  ProbeDoubtful(now, effects);
+}
+
+/** Tells members that are gone here and alive elsewhere, so they refute. */
+void membership::ProbeDoubtful(time_point now, effect_list& effects) {
+  std::size_t sent = 0;
+  while (sent < kDoubtfulPerPeriod && !doubtful_.empty()) {
+    const member_entry* entry = table_.Find(doubtful_.front());
+    doubtful_.pop_front();
+    if (entry == nullptr) continue;
+    if (entry->record.state != member_state::gone) continue;
+    SendProbe(*entry, false, now, effects);
+    ++sent;
+  }
+  // Suspects are probed each period in addition to the round.
+  std::size_t suspects = 0;
+  for (const host_id host : table_.Suspects()) {
+    if (++suspects > kDoubtfulPerPeriod) return;
+    SendProbe(*table_.Find(host), false, now, effects);
+  }
+}
+
+void membership::CheckProbes(time_point now, effect_list& effects) {
+  std::vector<host_id> failed;
+  for (auto& [sequence, open] : probes_) {
+    if (now >= open.end) {
+      if (open.accuses) failed.push_back(open.target);
+    } else if (open.accuses && !open.helpers_asked && now >= open.direct_end) {
+      open.helpers_asked = true;
+      AskHelpers(sequence, open, effects);
+    }
+  }
+  std::erase_if(probes_,
+                [&](const auto& entry) { return now >= entry.second.end; });
+  std::erase_if(relayed_,
+                [&](const auto& entry) { return now >= entry.second.end; });
+  for (const host_id host : failed) Accuse(host, now);
+}
+
+void membership::AskHelpers(std::uint64_t sequence, const open_probe& probe,
+                            effect_list& effects) {
+  const auto helpers =
+      table_.Sample(settings_.indirect_probes, probe.target, random_);
+  for (const member_entry* helper : helpers) {
+    const host_id host = helper->record.ref.host;
+    effects.push_back(send_peer_effect{
+        host,
+        helper->record.peer_address,
+        {},
+        probe_request{sequence, probe.target, UpdatesFor(host)}});
+  }
+}
+
+void membership::Accuse(host_id host, time_point now) {
+  member_entry* entry = table_.Find(host);
+  if (entry == nullptr || entry->deadline != kNever) return;
+  // A leaving member stays leaving for the others; it is only timed here.
+  if (entry->record.state == member_state::leaving) {
+    table_.SetDeadline(*entry, now + Suspicion());
+    return;
+  }
+  if (entry->record.state != member_state::alive) return;
+  member_record record = entry->record;
+  record.state = member_state::suspect;
+  Apply(record, now);
+}
+
+/** A last direct probe goes before the verdict, so that a rumour alone does
+ *  not remove a member that this host can reach. */
+void membership::CheckSuspects(time_point now, effect_list& effects) {
+  const std::vector<host_id> suspects(table_.Suspects().begin(),
+                                      table_.Suspects().end());
+  for (const host_id host : suspects) {
+    member_entry* entry = table_.Find(host);
+    if (now >= entry->deadline) {
+      member_record record = entry->record;
+      record.state = member_state::gone;
+      Apply(record, now);
+      continue;
+    }
+    const time_point last = entry->deadline - 2 * settings_.probe_timeout;
+    if (entry->last_probe_sent || now < last) continue;
+    entry->last_probe_sent = true;
+    SendProbe(*entry, false, now, effects);
+  }
+}
+
+void membership::SpreadAtOnce(time_point now, effect_list& effects) {
+  if (!urgent_) return;
+  urgent_ = false;
+  for (const member_entry* entry :
+       table_.Sample(kUrgentFanout, self_.ref.host, random_)) {
+    SendProbe(*entry, false, now, effects);
+  }
+}
+
+/** Asks a few known hosts for their table until one answers. */
+void membership::Join(time_point now, effect_list& effects) {
+  next_join_ = now + kJoinPeriod;
+  std::map<host_id, std::string> targets;
+  for (const member_entry* entry :
+       table_.Sample(kJoinFanout, self_.ref.host, random_)) {
+    targets[entry->record.ref.host] = entry->record.peer_address;
+  }
+  for (std::size_t i = 0; i < kJoinFanout && !hints_.empty(); ++i) {
+    const auto step = static_cast<std::ptrdiff_t>(random_.Below(hints_.size()));
+    const auto hint = std::next(hints_.begin(), step);
+    targets[hint->first] = hint->second;
+  }
+  // The host list may name many leafs; a seed is a host.
+  if (!seeds_.empty()) {
+    const std::string& seed = seeds_[random_.Below(seeds_.size())];
+    targets[HostIdOf(seed)] = seed;
+  }
+  for (const auto& [host, address] : targets) {
+    SendSync(host, address, true, false, effects);
+  }
+}
+
+/** Retries a gone member and an unknown host that the list still names. */
+void membership::Rejoin(time_point now, effect_list& effects) {
+  if (now < next_rejoin_) return;
+  const auto period =
+      static_cast<std::uint64_t>(settings_.rejoin_period.count());
+  next_rejoin_ = now + duration(period / 2 + random_.Below(period));
+  std::vector<std::pair<host_id, std::string>> gone;
+  std::vector<std::pair<host_id, std::string>> unknown;
+  for (const auto& [host, address] : hints_) {
+    const member_entry* entry = table_.Find(host);
+    if (entry == nullptr) unknown.emplace_back(host, address);
+    if (entry != nullptr && entry->record.state == member_state::gone) {
+      gone.emplace_back(host, address);
+    }
+  }
+  for (const auto* list : {&gone, &unknown}) {
+    if (list->empty()) continue;
+    const auto& [host, address] = (*list)[random_.Below(list->size())];
+    SendSync(host, address, true, false, effects);
+  }
+  const std::vector<host_id> all(table_.Gone().begin(), table_.Gone().end());
+  for (const host_id host : all) {
+    if (now < table_.Find(host)->since + kForgetAfter) continue;
+    updates_.Remove(host);
+    table_.Remove(host);
+    ++generation_;
+  }
+}
+
+duration membership::SyncPeriod() {
+  // Both directions of an exchange count.
+  const double seconds =
+      std::max(2 * kRecordBytes * static_cast<double>(table_.Size() + 1) /
+                   kSyncBytesPerSecond,
+               kSyncLeastSeconds);
+  const double factor = 0.75 + 0.5 * random_.Unit();
+  return duration(static_cast<duration::rep>(seconds * factor * 1e6));
+}
+
+void membership::SyncSometimes(time_point now, effect_list& effects) {
+  if (now < next_sync_) return;
+  next_sync_ = now + SyncPeriod();
+  for (const member_entry* entry : table_.Sample(1, self_.ref.host, random_)) {
+    SendSync(entry->record.ref.host, entry->record.peer_address, true, true,
+             effects);
+  }
+}
+
+/** Decides that no other host can be compared with. */
+void membership::CheckAlone(time_point now) {
+  if (confirmed_ || alone_) return;
+  const bool known = !hints_.empty() || table_.Present() > 0;
+  const bool asked = list_seen_ || now >= alone_since_ + kListWait;
+  if ((known || !asked) && now < alone_since_ + kAloneAfter) return;
+  alone_ = true;
+  ++generation_;
+}
+
+void membership::OnTick(time_point now, effect_list& effects) {
+  if (!started_) return;
+  CheckAlone(now);
+  SpreadAtOnce(now, effects);
+  CheckProbes(now, effects);
+  CheckSuspects(now, effects);
+  ProbeNext(now, effects);
+  if (!Confirmed() && now >= next_join_) Join(now, effects);
+  Rejoin(now, effects);
+  SyncSometimes(now, effects);
+}
+
+time_point membership::NextWake() const {
+  if (!started_) return kNever;
+  if (urgent_) return time_point{};
+  time_point wake = std::min({next_probe_, next_rejoin_, next_sync_});
+  if (!Confirmed()) wake = std::min(wake, next_join_);
+  for (const auto& [sequence, open] : probes_) {
+    const bool waits = open.accuses && !open.helpers_asked;
+    wake = std::min(wake, waits ? open.direct_end : open.end);
+  }
+  for (const host_id host : table_.Suspects()) {
+    const member_entry& entry = *table_.Find(host);
+    const time_point last = entry.deadline - 2 * settings_.probe_timeout;
+    wake = std::min(wake, entry.last_probe_sent ? entry.deadline : last);
+  }
+  return wake;
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/core/seat_table.cpp
@@ -0,0 +1,130 @@
+/** @file seat_table.cpp Majority rule over the entry seats. */
+
+#include "core/seat_table.h"
+
+#include <algorithm>
+
+#include "core/host_address.h"
+
+namespace corianderrail {
+
+namespace {
+
+// Up to this many seats a host hears from a majority directly within a lease,
+// as it exchanges two probes per second. With more, the member table counts as
+// indirect contact.
+constexpr std::size_t kDirectSeats = 12;
+
+// Seats that must be heard of directly when the member table counts.
+constexpr std::size_t kDirectLeast = 3;
+
+}  // namespace
+
+seat_table::seat_table(const member_record& self, duration lease,
+                       time_point hold_until)
+    : peer_address_(self.peer_address),
+      caller_address_(self.caller_address),
+      self_(self.ref.host),
+      lease_(lease),
+      hold_until_(hold_until) {}
+
+bool seat_table::SetSeats(std::span<const std::string> seats) {
+  if (std::equal(seats.begin(), seats.end(), seats_.begin(), seats_.end())) {
+    return false;
+  }
+  seats_.assign(seats.begin(), seats.end());
+  Rebuild();
+  return true;
+}
+
+void seat_table::SetMembers(std::span<const member_record> members) {
+  members_.assign(members.begin(), members.end());
+  Rebuild();
+}
+
+/** A seat is named by the peer address or the caller address of its host. */
+void seat_table::Rebuild() {
+  std::unordered_map<std::string, const member_record*> by_caller;
+  std::unordered_map<std::uint64_t, const member_record*> by_host;
+  for (const member_record& member : members_) {
+    by_host[Raw(member.ref.host)] = &member;
+    if (member.state == member_state::gone) continue;
+    if (!member.caller_address.empty()) {
+      by_caller[member.caller_address] = &member;
+    }
+  }
+  std::vector<seat> table;
+  std::unordered_map<std::uint64_t, std::size_t> index;
+  self_seat_ = false;
+  for (const std::string& address : seats_) {
+    seat one;
+    one.host = HostIdOf(address);
+    const auto caller = by_caller.find(address);
+    if (caller != by_caller.end()) one.host = caller->second->ref.host;
+    if (address == peer_address_ || address == caller_address_) {
+      one.host = self_;
+      self_seat_ = true;
+    }
+    const auto member = by_host.find(Raw(one.host));
+    one.alive =
+        member != by_host.end() && member->second->state == member_state::alive;
+    const auto before = index_.find(Raw(one.host));
+    if (before != index_.end()) {
+      one.heard = table_[before->second].heard;
+      one.ever = table_[before->second].ever;
+    }
+    index[Raw(one.host)] = table.size();
+    table.push_back(one);
+  }
+  table_ = std::move(table);
+  index_ = std::move(index);
+}
+
+void seat_table::OnContact(host_id host, time_point now) {
+  const auto found = index_.find(Raw(host));
+  if (found == index_.end()) return;
+  table_[found->second].heard = now;
+  table_[found->second].ever = true;
+}
+
+bool seat_table::IsSeat(host_id host) const {
+  return index_.contains(Raw(host));
+}
+
+/** Until when a majority, this host included, has been heard of recently. */
+time_point seat_table::MajorityUntil(time_point now) const {
+  const std::size_t needed = table_.size() / 2;  // Besides this host.
+  if (needed == 0) return now + lease_;
+  std::vector<time_point> heard;
+  std::size_t alive = 0;
+  for (const seat& one : table_) {
+    if (one.host == self_) continue;
+    if (one.alive) ++alive;
+    if (one.ever) heard.push_back(one.heard);
+  }
+  std::sort(heard.rbegin(), heard.rend());
+  const bool indirect = table_.size() > kDirectSeats;
+  if (indirect && alive < needed) return time_point{};
+  const std::size_t direct = indirect ? kDirectLeast : needed;
+  if (heard.size() < direct) return time_point{};
+  return heard[direct - 1] + lease_;
+}
+
+void seat_table::Refresh(time_point now) {
+  const time_point until = self_seat_ ? MajorityUntil(now) : time_point{};
+  if (until <= now) {
+    usable_.end = std::min(usable_.end, now);
+    return;
+  }
+  if (usable_.begin == kNever || now >= usable_.end) {
+    usable_.begin = std::max(now, hold_until_);
+  }
+  usable_.end = until;
+}
+
+void seat_table::ForgetContact() {
+  for (seat& one : table_) one.ever = false;
+  usable_ = time_span{};
+}
+
+}  // namespace corianderrail
