Add the codecs and the transport between hosts

Hosts, callers and leafs need formats whose decoders refuse any bad input. Messages between hosts are msgpack with HMAC-SHA256 over nng push and pull; the caller API is JSON by cxxtools with checks that name the member.

--- /dev/null
+++ b/packages/wire/caller_codec.h
@@ -0,0 +1,62 @@
+/** @file caller_codec.h JSON of the caller API. */
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/effect_type.h"
+#include "core/event_type.h"
+#include "core/order_type.h"
+#include "core/query_type.h"
+#include "wire/wire_error.h"
+
+namespace corianderrail {
+
+/** Longest name: customer, kind, zone, request id. */
+inline constexpr std::size_t kNameLimit = 256;
+
+/** Longest deadline that the API can carry; contracts set lower ones. */
+inline constexpr std::uint64_t kDeadlineLimitMs = 600'000;
+
+/** Most order identifiers in one request. */
+inline constexpr std::uint32_t kOrderIdsLimit = 100;
+
+/** Reads the body of POST /v1/query. @throws wire_error naming the member. */
+query_request ReadQueryRequest(std::string_view body);
+
+/** Reads the body of POST /v1/orders. @throws wire_error. */
+order_request ReadOrderRequest(std::string_view body);
+
+/** Reads the body of POST /v1/order-ids; the call is left 0.
+ *  @throws wire_error. */
+caller_order_id_event ReadOrderIdRequest(std::string_view body);
+
+/** `host-incarnation-sequence`, each in lower-case hex. */
+std::string OrderIdText(const order_id& id);
+
+/** @throws wire_error when the text is not an order identifier. */
+order_id ReadOrderId(std::string_view text);
+
+std::string WriteQueryAnswer(const query_answer& answer);
+std::string WriteRefusal(const refusal& reason);
+std::string WriteOrderStatus(const order_status& status);
+std::string WriteOrderIds(const answer_order_ids_effect& answer);
+std::string WriteAddresses(const answer_addresses_effect& answer);
+
+/** HTTP status code of a refusal. */
+unsigned RefusalHttpCode(refusal_reason reason);
+
+/** HTTP status code of an order's status. */
+unsigned OrderHttpCode(const order_status& status);
+
+std::string_view RefusalReasonName(refusal_reason reason);
+std::string_view RunStateName(run_state state);
+std::string_view OrderStateName(order_state state);
+std::string_view AnswerStatusName(answer_status status);
+
+/** Whole milliseconds, rounded up so that nobody retries too early. */
+std::uint64_t CeilMilliseconds(duration value);
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/wire/json_value.cpp
@@ -0,0 +1,339 @@
+/** @file json_value.cpp JSON by cxxtools, read strictly. */
+
+#include "wire/json_value.h"
+
+#include "wire/cxxtools_compat.h"
+
+#include <cxxtools/base64codec.h>
+#include <cxxtools/jsondeserializer.h>
+#include <cxxtools/jsonserializer.h>
+#include <cxxtools/serializationinfo.h>
+#include <cxxtools/utf8codec.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+namespace corianderrail {
+
+namespace {
+
+using kind = wire_error::kind;
+using cxxtools::SerializationInfo;
+
+/** Deepest nesting; the formats of this tier use three levels. */
+constexpr int kNestingLimit = 16;
+
+/**
+ * Bounds the nesting before the parser sees the text, because the parser and
+ * the destructor of its result recurse once for each level.
+ */
+void CheckNesting(std::string_view text) {
+  int depth = 0;
+  bool in_text = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_text) {
+      if (c == '\\') ++i;
+      if (c == '"') in_text = false;
+      continue;
+    }
+    if (c == '"') in_text = true;
+    if (c == '[' || c == '{') ++depth;
+    if (c == ']' || c == '}') --depth;
+    if (depth > kNestingLimit) {
+      throw wire_error(kind::out_of_range, "JSON nested too deeply");
+    }
+  }
+}
+
+std::string Named(std::string_view name) {
+  return "member '" + std::string(name) + "'";
+}
+
+std::string Joined(std::initializer_list<std::string_view> names) {
+  std::string all;
+  for (const auto name : names) {
+    if (!all.empty()) all += ", ";
+    all += name;
+  }
+  return all;
+}
+
+void CheckMembers(const SerializationInfo& value,
+                  std::initializer_list<std::string_view> members) {
+  if (value.category() != SerializationInfo::Object) {
+    throw wire_error(kind::wrong_type, "expected a JSON object");
+  }
+  std::vector<std::string_view> seen;
+  for (const auto& member : value) {
+    const std::string& name = member.name();
+    if (std::find(members.begin(), members.end(), name) == members.end()) {
+      throw wire_error(
+          kind::unknown_member,
+          "unknown " + Named(name) + "; known members are " + Joined(members));
+    }
+    if (std::find(seen.begin(), seen.end(), name) != seen.end()) {
+      throw wire_error(kind::bad_syntax, Named(name) + " occurs twice");
+    }
+    seen.push_back(name);
+  }
+}
+
+bool IsUtf8(std::string_view bytes) {
+  try {
+    const std::string text(bytes);
+    const auto decoded = cxxtools::Utf8Codec::decode(text);
+    return cxxtools::Utf8Codec::encode(decoded) == text;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+/** Base64 without the line breaks that the encoder puts in. */
+std::string Base64Text(std::string_view bytes) {
+  std::string text = cxxtools::Base64Codec::encode(std::string(bytes));
+  std::erase_if(text, [](char c) { return c == '\n' || c == '\r'; });
+  return text;
+}
+
+/** Text for humans: bytes that are not UTF-8 are replaced. */
+cxxtools::String Decoded(std::string_view bytes) {
+  std::string text(bytes);
+  if (!IsUtf8(text)) {
+    for (char& c : text) {
+      if (static_cast<unsigned char>(c) > 0x7E) c = '?';
+    }
+  }
+  return cxxtools::Utf8Codec::decode(text);
+}
+
+}  // namespace
+
+struct json_object::state {
+  SerializationInfo value;
+
+  const SerializationInfo* Find(std::string_view name) const {
+    return value.findMember(std::string(name));
+  }
+  const SerializationInfo& Require(std::string_view name) const {
+    const auto* member = Find(name);
+    if (member == nullptr) {
+      throw wire_error(kind::missing_member, Named(name) + " is missing");
+    }
+    return *member;
+  }
+};
+
+json_object::json_object(std::unique_ptr<state> value)
+    : state_(std::move(value)) {}
+json_object::~json_object() = default;
+json_object::json_object(json_object&&) noexcept = default;
+
+json_object json_object::Parse(std::string_view text,
+                               std::initializer_list<std::string_view> members,
+                               std::size_t limit) {
+  if (text.size() > limit) {
+    throw wire_error(kind::too_large, "JSON text larger than " +
+                                          std::to_string(limit) + " bytes");
+  }
+  CheckNesting(text);
+  auto parsed = std::make_unique<state>();
+  std::istringstream in{std::string(text)};
+  try {
+    const cxxtools::JsonDeserializer reader(in);
+    parsed->value = reader.si();
+  } catch (const std::exception& error) {
+    throw wire_error(kind::bad_syntax, error.what());
+  }
+  std::string rest;
+  std::getline(in, rest, '\0');
+  if (rest.find_first_not_of(" \t\r\n") != std::string::npos) {
+    throw wire_error(kind::trailing_bytes, "text after the JSON value");
+  }
+  CheckMembers(parsed->value, members);
+  return json_object(std::move(parsed));
+}
+
+bool json_object::Has(std::string_view name) const {
+  return state_->Find(name) != nullptr;
+}
+
+std::string json_object::Text(std::string_view name, std::size_t limit) const {
+  const auto& member = state_->Require(name);
+  if (member.category() != SerializationInfo::Value ||
+      member.typeName() != "string") {
+    throw wire_error(kind::wrong_type, Named(name) + " must be a string");
+  }
+  cxxtools::String wide;
+  member.getValue(wide);
+  std::string text = cxxtools::Utf8Codec::encode(wide);
+  if (text.size() > limit) {
+    throw wire_error(kind::out_of_range, Named(name) + " is longer than " +
+                                             std::to_string(limit) + " bytes");
+  }
+  return text;
+}
+
+std::string json_object::OptionalText(std::string_view name,
+                                      std::size_t limit) const {
+  return Has(name) ? Text(name, limit) : std::string();
+}
+
+std::uint64_t json_object::Unsigned(std::string_view name,
+                                    std::uint64_t largest) const {
+  const auto& member = state_->Require(name);
+  const bool number = member.typeName() == "int";
+  if (member.category() != SerializationInfo::Value ||
+      (!number && member.typeName() != "string")) {
+    throw wire_error(kind::wrong_type,
+                     Named(name) + " must be an integer or decimal text");
+  }
+  std::string digits;
+  member.getValue(digits);
+  std::uint64_t value = 0;
+  const char* end = digits.data() + digits.size();
+  const auto result = std::from_chars(digits.data(), end, value);
+  if (digits.empty() || result.ptr != end ||
+      result.ec == std::errc::invalid_argument) {
+    throw wire_error(kind::wrong_type,
+                     Named(name) + " must be a whole number of at least 0");
+  }
+  if (result.ec != std::errc() || value > largest) {
+    throw wire_error(kind::out_of_range, Named(name) + " must be at most " +
+                                             std::to_string(largest));
+  }
+  return value;
+}
+
+std::uint64_t json_object::OptionalUnsigned(std::string_view name,
+                                            std::uint64_t largest,
+                                            std::uint64_t absent) const {
+  return Has(name) ? Unsigned(name, largest) : absent;
+}
+
+bool json_object::OptionalBool(std::string_view name, bool absent) const {
+  const auto* member = state_->Find(name);
+  if (member == nullptr) return absent;
+  if (member->typeName() != "bool") {
+    throw wire_error(kind::wrong_type, Named(name) + " must be true or false");
+  }
+  bool value = false;
+  member->getValue(value);
+  return value;
+}
+
+std::vector<json_object> json_object::Objects(
+    std::string_view name, std::initializer_list<std::string_view> members,
+    std::size_t limit) const {
+  std::vector<json_object> objects;
+  const auto* list = state_->Find(name);
+  if (list == nullptr) return objects;
+  if (list->category() != SerializationInfo::Array) {
+    throw wire_error(kind::wrong_type, Named(name) + " must be a list");
+  }
+  if (list->memberCount() > limit) {
+    throw wire_error(kind::out_of_range, Named(name) + " is too long");
+  }
+  for (const auto& element : *list) {
+    CheckMembers(element, members);
+    auto copy = std::make_unique<state>();
+    copy->value = element;
+    objects.push_back(json_object(std::move(copy)));
+  }
+  return objects;
+}
+
+std::string json_object::Payload(std::size_t limit) const {
+  const bool encoded = Has("payload_base64");
+  if (!encoded) return OptionalText("payload", limit);
+  if (Has("payload")) {
+    throw wire_error(kind::bad_syntax,
+                     "give either 'payload' or 'payload_base64'");
+  }
+  // Base64 needs four characters for each three bytes begun.
+  const std::string text = Text("payload_base64", 4 * (limit / 3 + 1));
+  std::string bytes;
+  try {
+    bytes = cxxtools::Base64Codec::decode(text);
+  } catch (const std::exception&) {
+    throw wire_error(kind::wrong_type, "'payload_base64' is not base64");
+  }
+  // The decoder skips what is not in its alphabet, so compare both ways.
+  if (Base64Text(bytes) != text) {
+    throw wire_error(kind::wrong_type, "'payload_base64' is not base64");
+  }
+  if (bytes.size() > limit) {
+    throw wire_error(kind::out_of_range, "'payload_base64' is too long");
+  }
+  return bytes;
+}
+
+struct json_writer::state {
+  SerializationInfo root;
+  std::vector<SerializationInfo*> open{&root};
+
+  SerializationInfo& Add(std::string_view name) {
+    return open.back()->addMember(std::string(name));
+  }
+};
+
+json_writer::json_writer() : state_(std::make_unique<state>()) {
+  state_->root.setCategory(SerializationInfo::Object);
+}
+json_writer::~json_writer() = default;
+
+json_writer& json_writer::Text(std::string_view name, std::string_view value) {
+  state_->Add(name).setValue(Decoded(value));
+  return *this;
+}
+
+json_writer& json_writer::Unsigned(std::string_view name, std::uint64_t value) {
+  if (value > kExactJsonInteger) return Text(name, std::to_string(value));
+  state_->Add(name).setValue(value);
+  return *this;
+}
+
+json_writer& json_writer::Signed(std::string_view name, std::int64_t value) {
+  state_->Add(name).setValue(value);
+  return *this;
+}
+
+json_writer& json_writer::Bool(std::string_view name, bool value) {
+  state_->Add(name).setValue(value);
+  return *this;
+}
+
+json_writer& json_writer::Payload(std::string_view bytes) {
+  if (IsUtf8(bytes)) return Text("payload", bytes);
+  return Text("payload_base64", Base64Text(bytes));
+}
+
+json_writer& json_writer::Object(std::string_view name) {
+  auto& added = state_->Add(name);
+  added.setCategory(SerializationInfo::Object);
+  state_->open.push_back(&added);
+  return *this;
+}
+
+json_writer& json_writer::List(std::string_view name) {
+  auto& added = state_->Add(name);
+  added.setCategory(SerializationInfo::Array);
+  state_->open.push_back(&added);
+  return *this;
+}
+
+json_writer& json_writer::End() {
+  if (state_->open.size() > 1) state_->open.pop_back();
+  return *this;
+}
+
+std::string json_writer::Finish() const {
+  std::ostringstream out;
+  cxxtools::JsonSerializer serializer(out);
+  serializer.serialize(state_->root).finish();
+  return out.str();
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/wire/json_value.h
@@ -0,0 +1,99 @@
+/** @file json_value.h JSON by cxxtools, read strictly. */
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/wire_error.h"
+
+namespace corianderrail {
+
+/** Largest JSON text of a caller. */
+inline constexpr std::size_t kCallerBodyLimit = 256u << 10;
+
+/** Largest integer that every JSON reader keeps exactly. */
+inline constexpr std::uint64_t kExactJsonInteger = 1ULL << 53;
+
+/** A parsed JSON object whose members are read with strict checks. */
+class json_object {
+ public:
+  /**
+   * Parses a text whose outermost value is an object.
+   * @param members Names allowed; any other is refused by name.
+   * @throws wire_error when the text is not such an object.
+   */
+  static json_object Parse(std::string_view text,
+                           std::initializer_list<std::string_view> members,
+                           std::size_t limit = kCallerBodyLimit);
+  ~json_object();
+  json_object(json_object&&) noexcept;
+
+  bool Has(std::string_view name) const;
+
+  /** Text of at most `limit` bytes; @throws wire_error naming the member. */
+  std::string Text(std::string_view name, std::size_t limit) const;
+
+  /** Like Text(), but empty when the member is absent. */
+  std::string OptionalText(std::string_view name, std::size_t limit) const;
+
+  /** Integer, or decimal text; @throws wire_error naming the member. */
+  std::uint64_t Unsigned(std::string_view name, std::uint64_t largest) const;
+
+  /** Like Unsigned(), but `absent` when the member is absent. */
+  std::uint64_t OptionalUnsigned(std::string_view name, std::uint64_t largest,
+                                 std::uint64_t absent) const;
+
+  bool OptionalBool(std::string_view name, bool absent) const;
+
+  /**
+   * Reads a list of objects; empty when absent.
+   * @param members Names allowed in each object.
+   */
+  std::vector<json_object> Objects(
+      std::string_view name, std::initializer_list<std::string_view> members,
+      std::size_t limit) const;
+
+  /** Bytes from the member `payload`, or `payload_base64`, or neither. */
+  std::string Payload(std::size_t limit) const;
+
+ private:
+  struct state;
+  explicit json_object(std::unique_ptr<state> value);
+  std::unique_ptr<state> state_;
+};
+
+/** Builds one JSON object or list, member by member. */
+class json_writer {
+ public:
+  json_writer();
+  ~json_writer();
+  json_writer(const json_writer&) = delete;
+  json_writer& operator=(const json_writer&) = delete;
+
+  json_writer& Text(std::string_view name, std::string_view value);
+  /** Integer; decimal text above kExactJsonInteger. */
+  json_writer& Unsigned(std::string_view name, std::uint64_t value);
+  json_writer& Signed(std::string_view name, std::int64_t value);
+  json_writer& Bool(std::string_view name, bool value);
+  /** `payload` when the bytes are UTF-8 text, else `payload_base64`. */
+  json_writer& Payload(std::string_view bytes);
+  /** Opens a nested object; members go into it until End(). */
+  json_writer& Object(std::string_view name);
+  /** Opens a nested list; its elements have empty names. */
+  json_writer& List(std::string_view name);
+  json_writer& End();
+
+  std::string Finish() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/wire/leaf_codec.cpp
@@ -0,0 +1,134 @@
+/** @file leaf_codec.cpp Headers of the protocol between owners and leafs. */
+
+#include "wire/leaf_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+
+#include "wire/caller_codec.h"
+
+namespace corianderrail {
+
+namespace {
+
+using kind = wire_error::kind;
+
+constexpr std::uint64_t kAnyUnsigned =
+    std::numeric_limits<std::uint64_t>::max();
+
+/** Values of X-Status, indexed by leaf_status. */
+constexpr std::array<std::string_view, 4> kLeafStatuses = {
+    "ok", "not_run", "wrong_snapshot", "failed"};
+
+std::string Require(const header_lookup& headers, const char* name) {
+  auto value = headers(name);
+  if (!value) {
+    throw wire_error(kind::missing_member,
+                     std::string("leaf reply without header ") + name);
+  }
+  return *std::move(value);
+}
+
+std::uint64_t OptionalNumber(const header_lookup& headers, const char* name,
+                             std::uint64_t largest) {
+  const auto value = headers(name);
+  return value ? ReadNumber(name, *value, largest) : 0;
+}
+
+leaf_status ReadStatus(const header_lookup& headers) {
+  const auto text = Require(headers, "X-Status");
+  const auto* row = std::find(kLeafStatuses.begin(), kLeafStatuses.end(), text);
+  if (row == kLeafStatuses.end()) {
+    throw wire_error(kind::out_of_range, "leaf reply with unknown X-Status");
+  }
+  return static_cast<leaf_status>(row - kLeafStatuses.begin());
+}
+
+/** A reply shorter than announced was cut off; longer was run together. */
+void CheckLength(const header_lookup& headers, const std::string& body) {
+  const auto length = ReadNumber(
+      "Content-Length", Require(headers, "Content-Length"), kLeafReplyLimit);
+  if (length != body.size()) {
+    throw wire_error(kind::too_short, "leaf reply truncated");
+  }
+}
+
+}  // namespace
+
+std::uint64_t ReadNumber(const char* name, std::string_view text,
+                         std::uint64_t largest) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (text.empty() || result.ec != std::errc() || result.ptr != end ||
+      value > largest) {
+    throw wire_error(kind::out_of_range, std::string("header ") + name +
+                                             " is not a number in range");
+  }
+  return value;
+}
+
+std::string_view LeafPath(const leaf_request& request) {
+  return request.order ? "/leaf/v1/order" : "/leaf/v1/query";
+}
+
+std::string LeafRequestId(incarnation_id owner, leaf_call_id call) {
+  std::array<char, 40> text{};
+  char* end = text.data() + text.size();
+  char* next = std::to_chars(text.data(), end, Raw(owner), 16).ptr;
+  *next++ = '-';
+  next = std::to_chars(next, end, Raw(call), 16).ptr;
+  return {text.data(), next};
+}
+
+std::vector<http_header> LeafRequestHeaders(const leaf_request& request,
+                                            const std::string& request_id) {
+  const auto remaining =
+      std::max<std::int64_t>(0, std::int64_t{request.remaining.count()});
+  std::vector<http_header> headers = {
+      {kLeafRequestIdHeader, request_id},
+      {"X-Collection", request.collection},
+      {"X-Rank", std::string(RankName(request.urgency))},
+      {"X-Remaining-Us", std::to_string(remaining)},
+      {"X-Key-Begin", std::to_string(request.range.begin)},
+      {"X-Key-End", std::to_string(request.range.end)},
+  };
+  if (request.order) {
+    headers.push_back({"X-Order-Id", OrderIdText(*request.order)});
+  } else {
+    headers.push_back({"X-Snapshot", std::to_string(Raw(request.snapshot))});
+  }
+  return headers;
+}
+
+leaf_reply ReadLeafReply(unsigned http_code, const header_lookup& headers,
+                         std::string body, const std::string& request_id,
+                         const leaf_request& expected) {
+  if (http_code != 200) {
+    throw wire_error(kind::out_of_range, "leaf replied with HTTP status " +
+                                             std::to_string(http_code));
+  }
+  if (Require(headers, kLeafRequestIdHeader) != request_id) {
+    throw wire_error(kind::wrong_type, "leaf reply to another request");
+  }
+  CheckLength(headers, body);
+  leaf_reply reply;
+  reply.status = ReadStatus(headers);
+  reply.snapshot =
+      snapshot_id{OptionalNumber(headers, "X-Snapshot", kAnyUnsigned)};
+  reply.newest =
+      snapshot_id{OptionalNumber(headers, "X-Newest-Snapshot", kAnyUnsigned)};
+  reply.draining = OptionalNumber(headers, "X-Draining", 1) == 1;
+  reply.queued = static_cast<std::uint32_t>(
+      OptionalNumber(headers, "X-Queued", std::uint32_t(-1)));
+  if (!expected.order && reply.status == leaf_status::ok &&
+      reply.snapshot != expected.snapshot) {
+    throw wire_error(kind::wrong_type, "leaf replied from another snapshot");
+  }
+  reply.payload = std::move(body);
+  return reply;
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/wire/peer_codec.h
@@ -0,0 +1,44 @@
+/** @file peer_codec.h Encoding of messages between hosts. */
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/peer_message_type.h"
+#include "wire/wire_error.h"
+
+namespace corianderrail {
+
+/** First byte of each message; rises with each incompatible change. */
+inline constexpr std::uint8_t kPeerWireVersion = 1;
+
+/** Largest encoded message. */
+inline constexpr std::size_t kPeerMessageLimit = 8u << 20;
+
+/** Bytes of the HMAC-SHA256 at the end of each message. */
+inline constexpr std::size_t kPeerSignatureSize = 32;
+
+/** Fewest bytes of a shared key. */
+inline constexpr std::size_t kSharedKeyMin = 16;
+
+/**
+ * Encodes and signs a message.
+ * @param key Shared key of the fleet.
+ * @throws wire_error when the message is larger than kPeerMessageLimit.
+ */
+std::string EncodePeerMessage(const peer_message& message,
+                              std::string_view key);
+
+/** Appends the signature over the given version byte and content. */
+std::string SignPeerBytes(std::string bytes, std::string_view key);
+
+/**
+ * Checks the signature and decodes a message.
+ * @throws wire_error for any input that EncodePeerMessage() cannot produce.
+ */
+peer_message DecodePeerMessage(std::string_view bytes, std::string_view key);
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/wire/peer_transport.cpp
@@ -0,0 +1,157 @@
+/** @file peer_transport.cpp Sockets between hosts, by nng push and pull. */
+
+#include "wire/peer_transport.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <atomic>
+#include <cstring>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include "wire/peer_codec.h"
+#include "wire/wire_error.h"
+
+namespace corianderrail {
+
+namespace {
+
+/** First and longest pause between attempts to connect to a peer. */
+constexpr nng_duration kReconnectMinMs = 50;
+constexpr nng_duration kReconnectMaxMs = 1000;
+
+void Check(int code, const std::string& what) {
+  if (code == 0) return;
+  throw wire_error(wire_error::kind::transport_failed,
+                   what + ": " + nng_strerror(code));
+}
+
+/** A push socket with its last use. */
+struct push_socket {
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  std::chrono::steady_clock::time_point used{};
+
+  push_socket() = default;
+  push_socket(const push_socket&) = delete;
+  push_socket& operator=(const push_socket&) = delete;
+  ~push_socket() { nng_close(socket); }
+};
+
+}  // namespace
+
+struct peer_transport::state {
+  state(peer_transport_settings given, receiver handler)
+      : settings(std::move(given)), receive(std::move(handler)) {}
+
+  void Listen();
+  void OnReceived();
+  std::unique_ptr<push_socket> Dial(const std::string& address) const;
+
+  peer_transport_settings settings;
+  receiver receive;
+  nng_socket pull = NNG_SOCKET_INITIALIZER;
+  nng_aio* aio = nullptr;
+  mutable std::mutex mutex;  ///< Guards `peers`.
+  std::unordered_map<std::string, std::unique_ptr<push_socket>> peers;
+  std::atomic<std::uint64_t> sent{0};
+  std::atomic<std::uint64_t> dropped{0};
+  std::atomic<std::uint64_t> received{0};
+};
+
+void peer_transport::state::Listen() {
+  const std::string what = "cannot listen on peer address " +
+                           settings.listen_address +
+                           "; check 'peer_address' in the settings";
+  Check(nng_pull0_open(&pull), what);
+  Check(nng_socket_set_size(pull, NNG_OPT_RECVMAXSZ, kPeerMessageLimit), what);
+  Check(nng_socket_set_int(pull, NNG_OPT_RECVBUF, settings.receive_queue),
+        what);
+  const std::string url = "tcp://" + settings.listen_address;
+  Check(nng_listen(pull, url.c_str(), nullptr, 0), what);
+  const auto callback = [](void* self) {
+    static_cast<state*>(self)->OnReceived();
+  };
+  Check(nng_aio_alloc(&aio, callback, this), what);
+  nng_recv_aio(pull, aio);
+}
+
+void peer_transport::state::OnReceived() {
+  // Any failure of a receive on an open socket is final: the socket closed.
+  if (nng_aio_result(aio) != 0) return;
+  nng_msg* message = nng_aio_get_msg(aio);
+  received.fetch_add(1, std::memory_order_relaxed);
+  receive(std::string_view(static_cast<const char*>(nng_msg_body(message)),
+                           nng_msg_len(message)));
+  nng_msg_free(message);
+  nng_recv_aio(pull, aio);
+}
+
+std::unique_ptr<push_socket> peer_transport::state::Dial(
+    const std::string& address) const {
+  auto peer = std::make_unique<push_socket>();
+  if (nng_push0_open(&peer->socket) != 0) return nullptr;
+  nng_socket_set_int(peer->socket, NNG_OPT_SENDBUF, settings.send_queue);
+  nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMINT, kReconnectMinMs);
+  nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMAXT, kReconnectMaxMs);
+  const std::string url = "tcp://" + address;
+  const int code =
+      nng_dial(peer->socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+  if (code != 0) return nullptr;
+  return peer;
+}
+
+peer_transport::peer_transport(peer_transport_settings settings,
+                               receiver receive)
+    : state_(std::make_unique<state>(std::move(settings), std::move(receive))) {
+  try {
+    state_->Listen();
+  } catch (...) {
+    nng_close(state_->pull);
+    throw;
+  }
+}
+
+peer_transport::~peer_transport() {
+  nng_close(state_->pull);
+  nng_aio_stop(state_->aio);
+  nng_aio_free(state_->aio);
+}
+
+bool peer_transport::Send(const std::string& address, std::string_view bytes) {
+  const std::lock_guard lock(state_->mutex);
+  auto& peer = state_->peers[address];
+  if (!peer) peer = state_->Dial(address);
+  nng_msg* message = nullptr;
+  if (!peer || nng_msg_alloc(&message, bytes.size()) != 0) {
+    if (!peer) state_->peers.erase(address);
+    state_->dropped.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  std::memcpy(nng_msg_body(message), bytes.data(), bytes.size());
+  peer->used = std::chrono::steady_clock::now();
+  if (nng_sendmsg(peer->socket, message, NNG_FLAG_NONBLOCK) != 0) {
+    nng_msg_free(message);
+    state_->dropped.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  state_->sent.fetch_add(1, std::memory_order_relaxed);
+  return true;
+}
+
+void peer_transport::CloseIdle(std::chrono::steady_clock::time_point now) {
+  const std::lock_guard lock(state_->mutex);
+  std::erase_if(state_->peers, [&](const auto& entry) {
+    return now - entry.second->used > state_->settings.idle;
+  });
+}
+
+peer_transport_counters peer_transport::Counters() const {
+  const std::lock_guard lock(state_->mutex);
+  return {state_->sent, state_->dropped, state_->received,
+          state_->peers.size()};
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/wire/tests/caller_codec_test.cpp
@@ -0,0 +1,177 @@
+/** @file caller_codec_test.cpp Tests of the JSON of the caller API. */
+
+#include "wire/caller_codec.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <string>
+
+#include "wire/json_value.h"
+
+namespace corianderrail {
+namespace {
+
+std::string QueryError(const std::string& body) {
+  try {
+    ReadQueryRequest(body);
+  } catch (const wire_error& error) {
+    return error.what();
+  }
+  return "accepted";
+}
+
+const std::string kGoodQuery =
+    R"({"request_id":"r1","customer":"c","kind":"k","deadline_ms":250,)"
+    R"("seen_revision":"18446744073709551615","payload":"hé\u0000\n"})";
+
+// Guards against members that are read into the wrong field or cut at a NUL.
+TEST_CASE("CallerCodec_WholeQuery_FillsEveryField") {
+  const auto request = ReadQueryRequest(kGoodQuery);
+  CHECK(request.request_id == "r1");
+  CHECK(request.customer == "c");
+  CHECK(request.kind == "k");
+  CHECK(request.deadline == std::chrono::milliseconds(250));
+  CHECK(request.seen_revision == revision_id{~0ULL});
+  CHECK(request.payload == std::string("h\xC3\xA9\0\n", 5));
+}
+
+// Guards against misspelled members that are silently ignored.
+TEST_CASE("CallerCodec_UnknownMember_IsRefusedByName") {
+  const auto error = QueryError(
+      R"({"request_id":"r","customer":"c","kind":"k","deadlin_ms":1})");
+  CHECK(error.find("unknown member 'deadlin_ms'") != std::string::npos);
+}
+
+// Guards against wrongly typed members that are converted silently.
+TEST_CASE("CallerCodec_WrongType_IsRefusedByName") {
+  const std::array<std::pair<const char*, const char*>, 7> cases = {{
+      {R"("deadline_ms":"soon")", "'deadline_ms'"},
+      {R"("deadline_ms":-1)", "'deadline_ms'"},
+      {R"("deadline_ms":1.5)", "'deadline_ms'"},
+      {R"("deadline_ms":true)", "'deadline_ms'"},
+      {R"("deadline_ms":99999999999999999999)", "'deadline_ms'"},
+      {R"("payload":5)", "'payload'"},
+      {R"("payload":{"a":1})", "'payload'"},
+  }};
+  for (const auto& [member, name] : cases) {
+    const auto error =
+        QueryError(std::string(R"({"request_id":"r","customer":"c",)") +
+                   R"("kind":"k",)" + member + "}");
+    INFO(member << " gave " << error);
+    CHECK(error.find(name) != std::string::npos);
+  }
+}
+
+// Guards against required members that default to an empty name.
+TEST_CASE("CallerCodec_MissingMember_IsRefusedByName") {
+  CHECK(QueryError(R"({"request_id":"r","kind":"k"})") ==
+        "member 'customer' is missing");
+}
+
+// Guards against two values for one member, of which one is lost.
+TEST_CASE("CallerCodec_RepeatedMember_IsRefused") {
+  CHECK(QueryError(R"({"kind":"a","kind":"b"})") ==
+        "member 'kind' occurs twice");
+}
+
+// Guards against crashes and acceptance of input that is no request at all.
+TEST_CASE("CallerCodec_HostileTexts_AreRefused") {
+  const std::array<std::string, 9> texts = {
+      "",
+      "[",
+      "null",
+      "[]",
+      "{\"request_id\":\"\xFF\xFE\"}",
+      kGoodQuery + " x",
+      kGoodQuery.substr(0, kGoodQuery.size() - 1),
+      std::string(kCallerBodyLimit + 1, ' '),
+      std::string(kCallerBodyLimit, '['),
+  };
+  for (const auto& text : texts) {
+    CHECK_THROWS_AS(ReadQueryRequest(text), wire_error);
+  }
+}
+
+// Guards against answers whose bytes are lost because JSON is text.
+TEST_CASE("JsonWriter_PayloadOfAnyBytes_SurvivesRoundTrip") {
+  const bool held = rc::check("payload round trip", [](std::string bytes) {
+    json_writer out;
+    const auto text = out.Payload(bytes).Finish();
+    const auto read =
+        json_object::Parse(text, {"payload", "payload_base64"}, text.size());
+    RC_ASSERT(read.Payload(bytes.size()) == bytes);
+  });
+  CHECK(held);
+}
+
+// Guards against base64 that the decoder repairs silently.
+TEST_CASE("CallerCodec_BadBase64_IsRefused") {
+  const auto error =
+      QueryError(R"({"request_id":"r","customer":"c","kind":"k",)"
+                 R"("payload_base64":"/w*B6=="})");
+  CHECK(error == "'payload_base64' is not base64");
+}
+
+// Guards against any mutation of a good request that escapes as another type.
+TEST_CASE("CallerCodec_MutatedQuery_ThrowsWireErrorOnly") {
+  const bool held = rc::check("mutated query", [] {
+    std::string text = kGoodQuery;
+    const int edits = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < edits; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      text[at] = *rc::gen::arbitrary<char>();
+    }
+    try {
+      ReadQueryRequest(text);
+    } catch (const wire_error&) {
+      RC_TAG("refused");
+    }
+  });
+  CHECK(held);
+}
+
+// Guards against identifiers whose text does not lead back to their home.
+TEST_CASE("OrderId_Text_SurvivesRoundTrip") {
+  const order_id id{{host_id{0xABCDEF}, incarnation_id{~0ULL}}, 1};
+  CHECK(OrderIdText(id) == "abcdef-ffffffffffffffff-1");
+  CHECK(ReadOrderId(OrderIdText(id)) == id);
+}
+
+// Guards against two spellings of one order, or text read as another order.
+TEST_CASE("OrderId_OtherSpelling_IsRefused") {
+  const std::array<const char*, 9> texts = {
+      "",      "1",       "1-2",
+      "1-2-",  "1-2-3-4", "01-2-3",
+      "A-2-3", "-1-2-3",  "10000000000000000-2-3"};
+  for (const auto* text : texts) {
+    CHECK_THROWS_AS(ReadOrderId(text), wire_error);
+  }
+}
+
+// Guards against keys that lose digits in readers with 53-bit integers.
+TEST_CASE("WriteQueryAnswer_LargeKeys_AreDecimalText") {
+  query_answer answer;
+  answer.request_id = "r";
+  answer.missing = {{0, ~0ULL}};
+  const auto text = WriteQueryAnswer(answer);
+  CHECK(text.find(R"("begin":0,"end":"18446744073709551615")") !=
+        std::string::npos);
+  CHECK(text.find(R"("parts":[])") != std::string::npos);
+}
+
+// Guards against refusals that tell the caller to come back at once.
+TEST_CASE("WriteRefusal_ShortRetryAfter_RoundsUp") {
+  refusal reason;
+  reason.request_id = "r";
+  reason.reason = refusal_reason::rate_limit;
+  reason.retry_after = duration(1);
+  const auto text = WriteRefusal(reason);
+  CHECK(text.find(R"("ran":"not_run","reason":"rate_limit")") !=
+        std::string::npos);
+  CHECK(text.find(R"("retry_after_ms":1)") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace corianderrail
