--- a/cmake/testing.cmake
+++ b/cmake/testing.cmake
@@ -5,6 +5,7 @@
 add_library(test_main STATIC ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
 target_link_libraries(test_main PUBLIC Catch2::Catch2 rapidcheck)
 
+# Properties run with a fixed seed, so that a run can be repeated.
 function(add_package_tests package)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
   if(NOT sources)
@@ -13,5 +14,6 @@
   add_executable(${package}_tests ${sources})
   target_link_libraries(${package}_tests PRIVATE test_main ${ARGN})
   catch_discover_tests(${package}_tests TEST_PREFIX "${package}."
-                       DISCOVERY_MODE PRE_TEST)
+                       DISCOVERY_MODE PRE_TEST
+                       PROPERTIES ENVIRONMENT "RC_PARAMS=seed=1")
 endfunction()
