--- a/packages/core/tests/entry_fixture.h
+++ b/packages/core/tests/entry_fixture.h
@@ -27,6 +27,11 @@
     for (std::size_t i = 1; i <= hosts; ++i) members.push_back(MakeMember(i));
     PublishTopology(services, {snapshot_id{1}});
     PublishContracts();
+    // A fresh host uses its share of a rate one lease time after the start.
+    for (int second = 0; second < 10; ++second) {
+      now += std::chrono::seconds(1);
+      RefreshShares();
+    }
     owners.SetMembers(members);
   }
 
@@ -124,8 +129,12 @@
     }
   }
 
+  /** Ticks the shares, whose right to be used ends without ticks. */
+  void RefreshShares() { shares.OnTick(now, effects); }
+
   std::optional<admission_ticket> Admit(std::string_view kind,
                                         duration deadline = {}) {
+    RefreshShares();
     return gate.Admit("acme", kind, work_type::query, deadline, {},
                       std::nullopt, shares, now, refused, effects);
   }
--- a/packages/core/tests/order_fixture.h
+++ b/packages/core/tests/order_fixture.h
@@ -51,12 +51,14 @@
 
   void Order(order_id id, std::uint64_t call, std::uint64_t key = 0,
              std::string customer = "acme") {
+    RefreshShares();
     orders.OnOrder(
         {call_id{call}, RequestFor(id, call, key, std::move(customer))}, gate,
         shares, owners, revision_id{7}, now, effects);
   }
 
   void Forward(host_ref entry, const order_forward& body) {
+    RefreshShares();
     orders.OnForward(From(entry), body, gate, shares, owners, revision_id{7},
                      now, effects);
   }
--- a/packages/core/tests/query_gather_test.cpp
+++ b/packages/core/tests/query_gather_test.cpp
@@ -24,6 +24,7 @@
   }
 
   void Start(std::uint64_t call = 1, std::string_view customer = "acme") {
+    RefreshShares();
     query_request request;
     request.request_id = "r" + std::to_string(call);
     request.customer = customer;
