--- /dev/null
+++ b/packages/core/tests/support/message_net.h
@@ -0,0 +1,204 @@
+/** @file message_net.h In-memory queue between hosts, in virtual time. */
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/effect_type.h"
+#include "core/random.h"
+
+namespace corianderrail {
+
+/** Faults and delays of the queue. */
+struct net_settings {
+  double loss = 0;                                      ///< 0 to 1.
+  double duplication = 0;                               ///< 0 to 1.
+  duration delay_min = std::chrono::microseconds(500);  ///< Shortest way.
+  duration delay_max = std::chrono::milliseconds(12);   ///< Longest way.
+};
+
+/** One host under test; the fleet calls it. */
+class net_host {
+ public:
+  net_host() = default;
+  virtual ~net_host() = default;
+  net_host(const net_host&) = delete;
+  net_host& operator=(const net_host&) = delete;
+  virtual std::string Address() const = 0;
+  virtual void Start(time_point now, effect_list& effects) = 0;
+  virtual void Tick(time_point now, effect_list& effects) = 0;
+  virtual time_point NextWake() const = 0;
+  virtual peer_message Envelope(const send_peer_effect& effect) const = 0;
+  virtual void Receive(const peer_message& message, time_point now,
+                       effect_list& effects) = 0;
+  /** Effects that are not messages to other hosts. */
+  virtual void Other(const effect& /*one*/, time_point /*now*/,
+                     effect_list& /*effects*/) {}
+};
+
+/** Sum of the sizes of all fields that a message carries. */
+class byte_counter {
+ public:
+  template <typename... Fields>
+  void operator()(Fields&... fields) {
+    (Add(fields), ...);
+  }
+  std::size_t Bytes() const { return bytes_; }
+
+ private:
+  template <typename Field>
+  void Add(Field& field) {
+    if constexpr (requires { field.VisitFields(*this); }) {
+      field.VisitFields(*this);
+    } else if constexpr (requires { field.begin()->VisitFields(*this); }) {
+      for (auto& one : field) Add(one);
+    } else if constexpr (std::is_same_v<Field, std::string>) {
+      bytes_ += field.size() + 1;
+    } else {
+      bytes_ += sizeof(Field);
+    }
+  }
+  std::size_t bytes_ = 0;
+};
+
+/** Estimated size of a message: its fields, envelope and authentication. */
+inline std::size_t MessageBytes(peer_message& message) {
+  constexpr std::size_t kMacBytes = 32;
+  byte_counter counter;
+  counter(message.from, message.to_incarnation, message.revision,
+          message.contract_digest, message.topology_version,
+          message.contract_format, message.from_address);
+  std::visit([&](auto& body) { counter(body); }, message.body);
+  return counter.Bytes() + kMacBytes;
+}
+
+/** Runs hosts against each other with seeded faults. */
+class message_net {
+ public:
+  message_net(net_settings settings, std::uint64_t seed)
+      : settings_(settings), random_(seed) {}
+
+  /** Adds a host; one at the same address is replaced. */
+  void Add(net_host& host) {
+    const std::string address = host.Address();
+    hosts_[address] = &host;
+    paused_.erase(address);
+    effect_list effects;
+    host.Start(now_, effects);
+    Carry(host, effects);
+  }
+
+  void Remove(const std::string& address) { hosts_.erase(address); }
+
+  /** A paused host keeps its messages and handles them when it resumes. */
+  void Pause(const std::string& address) { paused_.insert(address); }
+  void Resume(const std::string& address) {
+    paused_.erase(address);
+    for (auto& message : std::exchange(held_[address], {})) {
+      queue_.emplace(now_, std::pair(address, std::move(message)));
+    }
+  }
+
+  /** Hosts in different groups do not reach each other; default group 0. */
+  void SetGroup(const std::string& address, int group) {
+    groups_[address] = group;
+  }
+  void SetLoss(double loss) { settings_.loss = loss; }
+
+  void RunUntil(time_point end, const std::function<void()>& each = {}) {
+    while (now_ < end) {
+      // A tick of 10 ms bounds the number of wake-ups that are looked up.
+      now_ = std::min(end, now_ + std::chrono::milliseconds(10));
+      Deliver();
+      for (const auto& [address, host] : Running()) {
+        if (host->NextWake() > now_) continue;
+        effect_list effects;
+        host->Tick(now_, effects);
+        Carry(*host, effects);
+      }
+      if (each) each();
+    }
+  }
+
+  /** Carries out effects that a test obtained from a host. */
+  void Carry(net_host& host, effect_list& effects) {
+    for (std::size_t i = 0; i < effects.size(); ++i) {
+      const effect one = effects[i];
+      if (const auto* send = std::get_if<send_peer_effect>(&one)) {
+        Send(host, *send);
+      } else {
+        host.Other(one, now_, effects);
+      }
+    }
+  }
+
+  time_point Now() const { return now_; }
+  std::uint64_t Messages() const { return messages_; }
+  std::uint64_t Bytes() const { return bytes_; }
+
+ private:
+  std::map<std::string, net_host*> Running() const {
+    std::map<std::string, net_host*> running = hosts_;
+    for (const std::string& address : paused_) running.erase(address);
+    return running;
+  }
+
+  int Group(const std::string& address) const {
+    const auto found = groups_.find(address);
+    return found == groups_.end() ? 0 : found->second;
+  }
+
+  void Send(net_host& host, const send_peer_effect& effect) {
+    peer_message message = host.Envelope(effect);
+    ++messages_;
+    bytes_ += MessageBytes(message);
+    const std::string& to = effect.address;
+    if (Group(host.Address()) != Group(to)) return;
+    const int copies = random_.Unit() < settings_.duplication ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (random_.Unit() < settings_.loss) continue;
+      const auto range = static_cast<std::uint64_t>(
+          (settings_.delay_max - settings_.delay_min).count());
+      const duration delay =
+          settings_.delay_min + duration(random_.Below(range + 1));
+      queue_.emplace(now_ + delay, std::pair(to, message));
+    }
+  }
+
+  void Deliver() {
+    while (!queue_.empty() && queue_.begin()->first <= now_) {
+      auto node = queue_.extract(queue_.begin());
+      auto& [address, message] = node.mapped();
+      const auto host = hosts_.find(address);
+      if (host == hosts_.end()) continue;
+      if (paused_.contains(address)) {
+        held_[address].push_back(std::move(message));
+        continue;
+      }
+      effect_list effects;
+      host->second->Receive(message, now_, effects);
+      Carry(*host->second, effects);
+    }
+  }
+
+  net_settings settings_;
+  random_source random_;
+  time_point now_{};
+  std::map<std::string, net_host*> hosts_;
+  std::set<std::string> paused_;
+  std::map<std::string, int> groups_;
+  std::map<std::string, std::vector<peer_message>> held_;
+  std::multimap<time_point, std::pair<std::string, peer_message>> queue_;
+  std::uint64_t messages_ = 0;
+  std::uint64_t bytes_ = 0;
+};
+
+}  // namespace corianderrail
