--- a/packages/core/contract_spread.cpp
+++ b/packages/core/contract_spread.cpp
@@ -93,7 +93,8 @@
   const bool from_service = source == "service";
   if (verdict.fault != contract_fault::none) {
     if (verdict.fault == contract_fault::newer_format) head_too_new_ = true;
-    const std::uint64_t digest = HashBytes(bytes);
+    // The key is part of the hash; two keys may hold the same bad bytes.
+    const std::uint64_t digest = HashBytes(bytes, HashBytes(kHeadKey));
     if (!Remember(refused_bytes_, digest)) return;
     Audit("contracts", verdict.revision, digest, verdict.fault, verdict.reason,
           source, now, effects);
@@ -357,7 +358,7 @@
                                       effect_list& effects) {
   if (topology_ && bytes == topology_bytes_) return;
   const topology_verdict verdict = topologies_(bytes);
-  const std::uint64_t digest = HashBytes(bytes);
+  const std::uint64_t digest = HashBytes(bytes, HashBytes(kTopologyKey));
   if (!verdict.value) {
     if (!Remember(refused_bytes_, digest)) return;
     Audit("topology", {}, digest, verdict.fault, verdict.reason, source, now,
@@ -392,7 +393,7 @@
   }
   topology_peers_.OnAnswer(from.from.host);
   OnTopologyValue(body.bytes, from.from_address, now, effects);
-  const std::uint64_t digest = HashBytes(body.bytes);
+  const std::uint64_t digest = HashBytes(body.bytes, HashBytes(kTopologyKey));
   MarkTold(digest, from.from.host);
   if (!refused_bytes_.contains(digest)) return;
   if (body.version != from.topology_version) return;
