--- /dev/null
+++ b/packages/ctl/command_type.h
@@ -0,0 +1,71 @@
+/** @file command_type.h Types shared by the commands of corianderctl. */
+
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corianderrail {
+
+/** Exit codes; docs/operating.md and README.md list them. */
+enum class exit_code : std::uint8_t {
+  ok = 0,
+  refused = 1,
+  usage = 2,
+  unreadable_input = 3,
+  host_unreachable = 4,
+  not_run = 5,
+  outcome_unknown = 6,
+};
+
+/** Ends a command with an exit code; the message names the remedy. */
+class command_error : public std::runtime_error {
+ public:
+  command_error(exit_code code, const std::string& message)
+      : std::runtime_error(message), code_(code) {}
+
+  exit_code Code() const { return code_; }
+
+ private:
+  exit_code code_;
+};
+
+/** Values of the options. */
+struct command_options {
+  bool json = false;               ///< Machine-readable output.
+  bool write = false;              ///< assemble: write into the tree.
+  std::int64_t timeout_ms = 2000;  ///< For a connect and for each read.
+  std::int64_t deadline_ms = 0;    ///< 0 takes the contract's.
+  std::int64_t seen_revision = 0;  ///< Revision of the address answer.
+  std::int64_t key = -1;           ///< Key of an order; -1 when not given.
+  std::string customer;            ///< Customer name.
+  std::string kind;                ///< Kind of work.
+  std::string payload;             ///< Request text.
+  std::string request_id;          ///< Caller's identifier.
+  std::string order_id;            ///< Identifier of an order to send again.
+  std::string seats;               ///< assemble: addresses with commas.
+};
+
+/** Everything that a command uses. */
+struct command_context {
+  std::vector<std::string> arguments;  ///< Without the command's name.
+  command_options options;             ///< Options.
+  std::ostream& out;                   ///< Results.
+  std::ostream& err;                   ///< Errors.
+};
+
+/** One command. */
+struct command {
+  std::string_view name;               ///< As typed.
+  std::string_view arguments;          ///< Shown by --help.
+  std::string_view summary;            ///< Shown by --help.
+  std::size_t least_arguments;         ///< Fewer are a usage error.
+  std::size_t most_arguments;          ///< More are a usage error.
+  exit_code (*run)(command_context&);  ///< Runs it; may throw command_error.
+};
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/ctl/host_commands.cpp
@@ -0,0 +1,241 @@
+/** @file host_commands.cpp Commands that call hosts. */
+
+#include "ctl/host_commands.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <ostream>
+#include <random>
+
+#include "contract/digest.h"
+#include "ctl/json_lines.h"
+#include "wire/http_client.h"
+#include "wire/json_value.h"
+
+namespace corianderrail {
+
+namespace {
+
+constexpr unsigned kHttpOk = 200;
+
+/** A reply that was read as JSON. */
+struct host_reply {
+  unsigned code = 0;             ///< HTTP status code.
+  std::string body;              ///< One line of JSON.
+  std::vector<json_line> lines;  ///< The body, flattened.
+};
+
+[[noreturn]] void FailUsage(const std::string& what) {
+  throw command_error(exit_code::usage,
+                      "corianderctl: " + what + "; see corianderctl --help");
+}
+
+/** Checks an address before anything is sent. */
+void CheckHost(const std::string& host) {
+  try {
+    ReadIpAddress(host);
+  } catch (const wire_error& error) {
+    FailUsage(error.what());
+  }
+}
+
+/** @throws wire_error when there is no JSON reply in time. */
+host_reply Call(const command_context& context, const std::string& host,
+                const std::string& method, const std::string& path,
+                const std::string& body) {
+  http_connection connection(host);
+  http_request request;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.timeout = std::chrono::milliseconds(context.options.timeout_ms);
+  if (!body.empty()) {
+    request.headers.push_back({"Content-Type", "application/json"});
+  }
+  http_reply raw = connection.Execute(request);
+  host_reply reply{raw.code, std::move(raw.body), {}};
+  reply.lines = FlattenJson(reply.body);
+  // JSON strings cannot hold line breaks, so this only joins lines.
+  std::replace(reply.body.begin(), reply.body.end(), '\n', ' ');
+  return reply;
+}
+
+[[noreturn]] void FailUnreachable(const std::string& host,
+                                  const std::string& what) {
+  throw command_error(
+      exit_code::host_unreachable,
+      host + ": " + what + "; check the address and that the host runs");
+}
+
+void Show(command_context& context, const host_reply& reply) {
+  if (context.options.json) {
+    context.out << reply.body << "\n";
+    return;
+  }
+  for (const json_line& line : reply.lines) {
+    context.out << line.path << ": " << line.value << "\n";
+  }
+}
+
+/** Exit code of a refusal or an order's state; nothing for other replies. */
+std::optional<exit_code> CodeOfState(const host_reply& reply) {
+  std::optional<std::string> state = FindLine(reply.lines, "state");
+  if (!state) state = FindLine(reply.lines, "ran");
+  if (!state) return std::nullopt;
+  if (*state == "ran") return exit_code::ok;
+  if (*state == "not_run") return exit_code::not_run;
+  return exit_code::outcome_unknown;
+}
+
+/** Shows a reply; refusals go to the error stream as well. */
+exit_code Finish(command_context& context, const std::string& host,
+                 const host_reply& reply) {
+  Show(context, reply);
+  std::optional<exit_code> code = CodeOfState(reply);
+  if (!code && reply.code != kHttpOk) {
+    FailUnreachable(host, "HTTP code " + std::to_string(reply.code));
+  }
+  if (!code || *code == exit_code::ok) return exit_code::ok;
+  std::string detail = FindLine(reply.lines, "detail").value_or("");
+  std::string reason = FindLine(reply.lines, "reason").value_or("");
+  context.err << host << ": "
+              << (*code == exit_code::not_run ? "not run" : "outcome unknown")
+              << (reason.empty() ? "" : ", ") << reason
+              << (detail.empty() ? "" : ": ") << detail << "\n";
+  return *code;
+}
+
+std::string RequestId(const command_options& options) {
+  if (!options.request_id.empty()) return options.request_id;
+  std::random_device device;
+  std::uint64_t value = device();
+  value = (value << 32) | device();
+  return "ctl-" + FormatDigest(value);
+}
+
+void RequireWork(const command_options& options) {
+  if (options.customer.empty()) FailUsage("--customer is missing");
+  if (options.kind.empty()) FailUsage("--kind is missing");
+}
+
+/** Adds the members that queries and orders share. */
+void AddRequest(json_writer& writer, const command_options& options,
+                const std::string& request_id) {
+  writer.Text("request_id", request_id)
+      .Text("customer", options.customer)
+      .Text("kind", options.kind);
+  if (options.deadline_ms > 0) {
+    writer.Signed("deadline_ms", options.deadline_ms);
+  }
+  if (options.seen_revision > 0) {
+    writer.Signed("seen_revision", options.seen_revision);
+  }
+  writer.Payload(options.payload);
+}
+
+/** Shows the reply of one host to a GET request. */
+void ShowHost(command_context& context, const std::string& host,
+              const std::string& path) {
+  try {
+    host_reply reply = Call(context, host, "GET", path, "");
+    if (reply.code != kHttpOk) {
+      FailUnreachable(host, "HTTP code " + std::to_string(reply.code));
+    }
+    Show(context, reply);
+  } catch (const wire_error& error) {
+    FailUnreachable(host, error.what());
+  }
+}
+
+/** Identifier for a new order, or nothing when the host refused. */
+std::optional<std::string> FetchOrderId(command_context& context,
+                                        const std::string& host,
+                                        const std::string& request_id,
+                                        exit_code& refused) {
+  json_writer writer;
+  writer.Text("request_id", request_id)
+      .Text("customer", context.options.customer)
+      .Unsigned("count", 1);
+  try {
+    host_reply reply =
+        Call(context, host, "POST", "/v1/order-ids", writer.Finish());
+    std::optional<std::string> id = FindLine(reply.lines, "order_ids[0]");
+    if (id) return id;
+    refused = Finish(context, host, reply);
+    if (refused != exit_code::ok) return std::nullopt;
+    FailUnreachable(host, "the reply has no order identifier");
+  } catch (const wire_error& error) {
+    FailUnreachable(host, error.what());
+  }
+}
+
+}  // namespace
+
+exit_code RunStatus(command_context& context) {
+  for (const std::string& host : context.arguments) CheckHost(host);
+  exit_code code = exit_code::ok;
+  for (const std::string& host : context.arguments) {
+    if (!context.options.json) context.out << "host: " << host << "\n";
+    try {
+      ShowHost(context, host, "/v1/status");
+    } catch (const command_error& error) {
+      // The other hosts are still worth showing.
+      context.err << error.what() << "\n";
+      code = error.Code();
+    }
+  }
+  return code;
+}
+
+exit_code RunAudit(command_context& context) {
+  CheckHost(context.arguments[0]);
+  ShowHost(context, context.arguments[0], "/v1/audit");
+  return exit_code::ok;
+}
+
+exit_code RunQuery(command_context& context) {
+  const std::string& host = context.arguments[0];
+  CheckHost(host);
+  RequireWork(context.options);
+  json_writer writer;
+  AddRequest(writer, context.options, RequestId(context.options));
+  try {
+    return Finish(context, host,
+                  Call(context, host, "POST", "/v1/query", writer.Finish()));
+  } catch (const wire_error& error) {
+    FailUnreachable(host, error.what());
+  }
+}
+
+exit_code RunOrder(command_context& context) {
+  const std::string& host = context.arguments[0];
+  CheckHost(host);
+  RequireWork(context.options);
+  if (context.options.key < 0) FailUsage("--key is missing or negative");
+  std::string request_id = RequestId(context.options);
+  std::string order_id = context.options.order_id;
+  if (order_id.empty()) {
+    exit_code refused = exit_code::ok;
+    std::optional<std::string> id =
+        FetchOrderId(context, host, request_id, refused);
+    if (!id) return refused;
+    order_id = *id;
+    // Shown before the order is sent, so that it can be sent again.
+    context.err << "order id: " << order_id << "\n";
+  }
+  json_writer writer;
+  writer.Text("order_id", order_id)
+      .Unsigned("key", static_cast<std::uint64_t>(context.options.key));
+  AddRequest(writer, context.options, request_id);
+  try {
+    return Finish(context, host,
+                  Call(context, host, "POST", "/v1/orders", writer.Finish()));
+  } catch (const wire_error& error) {
+    throw command_error(
+        exit_code::outcome_unknown,
+        host + ": " + error.what() +
+            "; send the order again with --order-id=" + order_id);
+  }
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/ctl/json_lines.h
@@ -0,0 +1,29 @@
+/** @file json_lines.h Shows any JSON reply as lines of text. */
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corianderrail {
+
+/** One scalar of a JSON value. */
+struct json_line {
+  std::string path;   ///< Such as `members[0].zone`.
+  std::string value;  ///< As text.
+};
+
+/**
+ * Flattens a JSON text. Replies are shown whatever members a host of another
+ * version sends, so no list of known members is applied.
+ * @throws wire_error when the text is not JSON.
+ */
+std::vector<json_line> FlattenJson(std::string_view text);
+
+/** Value at a path. */
+std::optional<std::string> FindLine(const std::vector<json_line>& lines,
+                                    std::string_view path);
+
+}  // namespace corianderrail
