Test corianderctl against a scripted host

A reply that is not JSON was shown as success, because the parser of cxxtools takes any bare word for a value; an order then exited with 0 instead of 6. Replies must now be one object with the expected member.

--- a/packages/ctl/host_commands.cpp
+++ b/packages/ctl/host_commands.cpp
@@ -87,13 +87,19 @@
   return exit_code::outcome_unknown;
 }
 
-/** Shows a reply; refusals go to the error stream as well. */
+/**
+ * Shows a reply; refusals go to the error stream as well.
+ * @param required Member that every accepted request answers with.
+ * @throws wire_error when the reply has neither it nor a refusal.
+ */
 exit_code Finish(command_context& context, const std::string& host,
-                 const host_reply& reply) {
+                 const host_reply& reply, std::string_view required) {
   Show(context, reply);
   std::optional<exit_code> code = CodeOfState(reply);
-  if (!code && reply.code != kHttpOk) {
-    FailUnreachable(host, "HTTP code " + std::to_string(reply.code));
+  if (!code && !FindLine(reply.lines, required)) {
+    throw wire_error(wire_error::kind::missing_member,
+                     "HTTP code " + std::to_string(reply.code) +
+                         " without member '" + std::string(required) + "'");
   }
   if (!code || *code == exit_code::ok) return exit_code::ok;
   std::string detail = FindLine(reply.lines, "detail").value_or("");
@@ -161,9 +167,8 @@
         Call(context, host, "POST", "/v1/order-ids", writer.Finish());
     std::optional<std::string> id = FindLine(reply.lines, "order_ids[0]");
     if (id) return id;
-    refused = Finish(context, host, reply);
-    if (refused != exit_code::ok) return std::nullopt;
-    FailUnreachable(host, "the reply has no order identifier");
+    refused = Finish(context, host, reply, "order_ids[0]");
+    return std::nullopt;
   } catch (const wire_error& error) {
     FailUnreachable(host, error.what());
   }
@@ -201,7 +206,8 @@
   AddRequest(writer, context.options, RequestId(context.options));
   try {
     return Finish(context, host,
-                  Call(context, host, "POST", "/v1/query", writer.Finish()));
+                  Call(context, host, "POST", "/v1/query", writer.Finish()),
+                  "status");
   } catch (const wire_error& error) {
     FailUnreachable(host, error.what());
   }
@@ -229,7 +235,8 @@
   AddRequest(writer, context.options, request_id);
   try {
     return Finish(context, host,
-                  Call(context, host, "POST", "/v1/orders", writer.Finish()));
+                  Call(context, host, "POST", "/v1/orders", writer.Finish()),
+                  "state");
   } catch (const wire_error& error) {
     throw command_error(
         exit_code::outcome_unknown,
--- a/packages/ctl/json_lines.cpp
+++ b/packages/ctl/json_lines.cpp
@@ -75,10 +75,23 @@
   std::istringstream in{std::string(text)};
   try {
     const cxxtools::JsonDeserializer reader(in);
+    // The parser takes any bare word for a value and stops at its end.
+    if (reader.si().category() == SerializationInfo::Value) {
+      throw wire_error(wire_error::kind::bad_syntax,
+                       "the reply is not a JSON object");
+    }
     Flatten(reader.si(), "", lines);
+  } catch (const wire_error&) {
+    throw;
   } catch (const std::exception& error) {
     throw wire_error(wire_error::kind::bad_syntax, error.what());
   }
+  std::string rest;
+  std::getline(in, rest, '\0');
+  if (rest.find_first_not_of(" \t\r\n") != std::string::npos) {
+    throw wire_error(wire_error::kind::trailing_bytes,
+                     "text follows the JSON value of the reply");
+  }
   return lines;
 }
 
--- a/packages/ctl/json_lines.h
+++ b/packages/ctl/json_lines.h
@@ -18,7 +18,7 @@
 /**
  * Flattens a JSON text. Replies are shown whatever members a host of another
  * version sends, so no list of known members is applied.
- * @throws wire_error when the text is not JSON.
+ * @throws wire_error when the text is not one JSON object or list.
  */
 std::vector<json_line> FlattenJson(std::string_view text);
 
--- /dev/null
+++ b/packages/ctl/tests/host_commands_test.cpp
@@ -0,0 +1,130 @@
+/** @file host_commands_test.cpp Tests of the commands that call hosts. */
+
+#include "ctl_fixture.h"
+#include "fake_host.h"
+#include "wire/caller_codec.h"
+
+namespace corianderrail {
+namespace {
+
+using Catch::Contains;
+
+constexpr const char* kOrderId = "a1-b2-3";
+
+/** Reply to a request for identifiers. */
+scripted_reply OrderIds() {
+  return {"/v1/order-ids", 200,
+          R"({"request_id":"r","order_ids":["a1-b2-3"]})"};
+}
+
+/** Reply to an order with a state. */
+scripted_reply OrderReply(const std::string& state) {
+  return {"/v1/orders", 200,
+          R"({"order_id":"a1-b2-3","request_id":"r","state":")" + state +
+              R"(","reason":"rate_limit","detail":"wait","revision":7})"};
+}
+
+// Guards against a status that hides hosts after one that does not answer.
+TEST_CASE_METHOD(ctl_fixture, "Status_OneHostDown_ShowsTheOthers") {
+  fake_host host({{"/v1/status", 200, R"({"phase":"ready","n":[1,2]})"}});
+  CHECK(Run({"status", ClosedAddress(), host.Address()}) ==
+        exit_code::host_unreachable);
+  CHECK_THAT(out.str(), Contains("phase: ready\nn[0]: 1\nn[1]: 2\n"));
+  CHECK_THAT(err.str(), Contains("check the address"));
+}
+
+// Guards against a reply that is not JSON and would be shown as success.
+TEST_CASE_METHOD(ctl_fixture, "Audit_BadReply_IsUnreachable") {
+  fake_host broken({{"/v1/audit", 200, "<html>"}});
+  CHECK(Run({"audit", broken.Address()}) == exit_code::host_unreachable);
+  fake_host nested({{"/v1/audit", 200, std::string(100'000, '[')}});
+  CHECK(Run({"audit", nested.Address()}) == exit_code::host_unreachable);
+  fake_host missing({});
+  CHECK(Run({"audit", missing.Address()}) == exit_code::host_unreachable);
+}
+
+// Guards against a request body that hosts refuse.
+TEST_CASE_METHOD(ctl_fixture, "Query_Request_IsReadByTheCallerCodec") {
+  fake_host host({{"/v1/query", 200,
+                   R"({"request_id":"q","status":"complete","revision":7})"}});
+  CHECK(Run({"query", host.Address(), "--customer=mill", "--kind=search",
+             "--payload=wheat", "--deadline-ms=250", "--seen-revision=7",
+             "--request-id=q"}) == exit_code::ok);
+  REQUIRE(host.Seen().size() == 1);
+  query_request request = ReadQueryRequest(host.Seen()[0].body);
+  CHECK(request.request_id == "q");
+  CHECK(request.customer == "mill");
+  CHECK(request.kind == "search");
+  CHECK(request.payload == "wheat");
+  CHECK(request.deadline == std::chrono::milliseconds(250));
+  CHECK(request.seen_revision == revision_id{7});
+  CHECK_THAT(out.str(), Contains("status: complete"));
+}
+
+// Guards against a refusal that a script takes for an answer.
+TEST_CASE_METHOD(ctl_fixture, "Query_Refused_ExitsWithNotRun") {
+  refusal reason{"q",    run_state::not_run, refusal_reason::rate_limit,
+                 "wait", duration(1'500),    revision_id{7}};
+  fake_host host({{"/v1/query", 429, WriteRefusal(reason)}});
+  CHECK(Run({"query", host.Address(), "-c", "mill", "-k", "search"}) ==
+        exit_code::not_run);
+  CHECK_THAT(err.str(), Contains("not run, rate_limit: wait"));
+}
+
+// Guards against an order that is sent without an identifier from its home, or
+// whose identifier is lost when the caller stops waiting.
+TEST_CASE_METHOD(ctl_fixture, "Order_New_FetchesAndShowsIdentifier") {
+  fake_host host({OrderIds(), OrderReply("ran")});
+  CHECK(Run({"order", host.Address(), "-c", "mill", "-k", "reserve", "--key=5",
+             "--payload=two"}) == exit_code::ok);
+  CHECK_THAT(err.str(), Contains("order id: a1-b2-3"));
+  std::vector<seen_request> seen = host.Seen();
+  REQUIRE(seen.size() == 2);
+  caller_order_id_event ids = ReadOrderIdRequest(seen[0].body);
+  CHECK(ids.customer == "mill");
+  order_request order = ReadOrderRequest(seen[1].body);
+  CHECK(order.id == ReadOrderId(kOrderId));
+  CHECK(order.key == 5);
+  CHECK(order.payload == "two");
+}
+
+// Guards against a resent order that gets a new identifier and so runs twice.
+TEST_CASE_METHOD(ctl_fixture, "Order_Resent_KeepsItsIdentifier") {
+  fake_host host({OrderIds(), OrderReply("pending")});
+  CHECK(Run({"order", host.Address(), "-c", "mill", "-k", "reserve", "--key=5",
+             "--order-id=a1-b2-3"}) == exit_code::outcome_unknown);
+  REQUIRE(host.Seen().size() == 1);
+  CHECK(host.Seen()[0].path == "/v1/orders");
+}
+
+// Guards against states of an order that a script cannot tell apart.
+TEST_CASE_METHOD(ctl_fixture, "Order_States_HaveTheirExitCodes") {
+  const std::vector<std::pair<std::string, exit_code>> codes = {
+      {"ran", exit_code::ok},
+      {"not_run", exit_code::not_run},
+      {"pending", exit_code::outcome_unknown},
+      {"unknown", exit_code::outcome_unknown}};
+  for (const auto& [state, code] : codes) {
+    CAPTURE(state);
+    fake_host host({OrderIds(), OrderReply(state)});
+    CHECK(Run({"order", host.Address(), "-c", "mill", "-k", "reserve",
+               "--key=5"}) == code);
+  }
+}
+
+// Guards against an order that was sent and then reported as not sent when the
+// reply is lost.
+TEST_CASE_METHOD(ctl_fixture, "Order_ReplyLost_IsUnknown") {
+  fake_host host({OrderIds(), {"/v1/orders", 200, "no JSON"}});
+  CHECK(Run({"order", host.Address(), "-c", "mill", "-k", "reserve",
+             "--key=5"}) == exit_code::outcome_unknown);
+  CHECK_THAT(err.str(), Contains("--order-id=a1-b2-3"));
+  fake_host stateless({OrderIds(), {"/v1/orders", 200, "{}"}});
+  CHECK(Run({"order", stateless.Address(), "-c", "mill", "-k", "reserve",
+             "--key=5"}) == exit_code::outcome_unknown);
+  CHECK(Run({"order", ClosedAddress(), "-c", "mill", "-k", "reserve",
+             "--key=5"}) == exit_code::host_unreachable);
+}
+
+}  // namespace
+}  // namespace corianderrail
