--- /dev/null
+++ b/bench/bench_report.cpp
@@ -0,0 +1,440 @@
+/** @file bench_report.cpp Statistics over runs, as lines of JSON. */
+
+#include "bench_report.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+namespace corianderrail::bench {
+
+namespace {
+
+using driver::query_outcome;
+using driver::query_sample;
+
+bool HasAnswer(const query_sample& sample) {
+  return sample.outcome == query_outcome::answered ||
+         sample.outcome == query_outcome::incomplete;
+}
+
+bool Inside(const query_sample& sample, const window_span& span) {
+  return sample.sent >= span.begin && sample.sent < span.end;
+}
+
+double Share(std::uint64_t part, std::uint64_t whole) {
+  return whole == 0 ? 1
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+/** Value of each run. */
+std::vector<double> ForEachRun(
+    std::span<const run_result> runs,
+    const std::function<double(const run_result&)>& value) {
+  std::vector<double> values;
+  values.reserve(runs.size());
+  for (const run_result& run : runs) values.push_back(value(run));
+  return values;
+}
+
+double AnsweredShare(const run_result& run, rank r) {
+  std::uint64_t sent = 0;
+  std::uint64_t answered = 0;
+  for (const query_sample& sample : run.samples) {
+    if (sample.urgency != r || !Inside(sample, run.measured)) continue;
+    ++sent;
+    answered += sample.outcome == query_outcome::answered ? 1 : 0;
+  }
+  return Share(answered, sent);
+}
+
+double MeanCoverage(const run_result& run, rank r) {
+  std::uint64_t answers = 0;
+  std::uint64_t covered = 0;
+  for (const query_sample& sample : run.samples) {
+    if (sample.urgency != r || !Inside(sample, run.measured)) continue;
+    if (!HasAnswer(sample)) continue;
+    ++answers;
+    covered += sample.coverage;
+  }
+  return Share(covered, answers * kWholePpm);
+}
+
+double ExtraPercent(const window_span& span) {
+  if (span.leaf_parts == 0) return 0;
+  return 100 * (Share(span.leaf_requests, span.leaf_parts) - 1);
+}
+
+/** Leaf requests beyond the parts that reached a caller, in percent. */
+double WastePercent(const run_result& run) {
+  std::uint64_t parts = 0;
+  for (const query_sample& sample : run.samples) {
+    if (Inside(sample, run.measured)) parts += sample.parts;
+  }
+  if (parts == 0) return 0;
+  return 100 * (Share(run.measured.leaf_requests, parts) - 1);
+}
+
+/** Parts answered in a collection, as a share of its capacity. */
+double CapacityShare(const run_result& run, std::size_t collection,
+                     std::optional<rank> r) {
+  double parts = 0;
+  for (const query_sample& sample : run.samples) {
+    if (sample.collection != collection || !Inside(sample, run.measured) ||
+        sample.outcome != query_outcome::answered ||
+        (r && sample.urgency != *r)) {
+      continue;
+    }
+    parts += sample.parts;
+  }
+  const double seconds =
+      std::chrono::duration<double>(run.measured.end - run.measured.begin)
+          .count();
+  return parts / (run.capacity[collection] * seconds);
+}
+
+/** Least goodput over the flooded collections, or over all. */
+double Goodput(const run_result& run) {
+  const bool any = std::any_of(run.flooded.begin(), run.flooded.end(),
+                               [](bool flooded) { return flooded; });
+  double least = HUGE_VAL;
+  for (std::size_t c = 0; c < run.capacity.size(); ++c) {
+    if (any && !run.flooded[c]) continue;
+    least = std::min(least, CapacityShare(run, c, std::nullopt));
+  }
+  return least;
+}
+
+std::vector<double> Pooled(std::span<const run_result> runs, bool measured,
+                           const sample_filter& filter) {
+  std::vector<double> all;
+  for (const run_result& run : runs) {
+    const auto some =
+        Latencies(run, measured ? run.measured : run.reference, filter);
+    all.insert(all.end(), some.begin(), some.end());
+  }
+  return all;
+}
+
+/** Largest ratio of a p99 to its reference over the collections. */
+double WorstRatio(std::span<const run_result> runs, std::optional<rank> r) {
+  double worst = 0;
+  for (std::size_t c = 0; c < runs[0].capacity.size(); ++c) {
+    const auto filter = [&](const query_sample& sample) {
+      return sample.collection == c && (!r || sample.urgency == *r);
+    };
+    const double before = Quantile(Pooled(runs, false, filter), 0.99);
+    const double after = Quantile(Pooled(runs, true, filter), 0.99);
+    if (before > 0) worst = std::max(worst, after / before);
+  }
+  return worst;
+}
+
+/** Least ratio of a rank's service to what its floor grants. */
+double FloorRatio(std::span<const run_result> runs, rank flooded) {
+  double least = HUGE_VAL;
+  for (const run_result& run : runs) {
+    for (std::size_t c = 0; c < run.capacity.size(); ++c) {
+      if (!run.flooded[c]) continue;
+      for (const rank r : kAllRanks) {
+        if (r == flooded || r == rank::urgent) continue;
+        const double floor =
+            static_cast<double>(driver::kFloors[RankIndex(r)]) / kWholePpm;
+        const double demand = kHealthyLoad * kRankShare[RankIndex(r)];
+        least =
+            std::min(least, CapacityShare(run, c, r) / std::min(floor, demand));
+      }
+    }
+  }
+  return least;
+}
+
+/** Seconds until the p99 of a span of 1 s is near its reference; -1: never. */
+double RecoverySeconds(std::span<const run_result> runs) {
+  constexpr duration kSpan = std::chrono::seconds(1);
+  constexpr duration kStep = std::chrono::milliseconds(250);
+  constexpr duration kLongest = std::chrono::seconds(8);
+  constexpr double kNear = 1.05;
+  constexpr double kAnswered = 0.999;
+  const auto any = [](const query_sample&) { return true; };
+  const double healthy = Quantile(Pooled(runs, false, any), 0.99);
+  for (duration start{}; start <= kLongest; start += kStep) {
+    std::vector<double> all;
+    std::uint64_t sent = 0;
+    std::uint64_t answered = 0;
+    for (const run_result& run : runs) {
+      const window_span span{run.ended + start, run.ended + start + kSpan, 0,
+                             0};
+      const auto some = Latencies(run, span, any);
+      all.insert(all.end(), some.begin(), some.end());
+      for (const query_sample& sample : run.samples) {
+        if (!Inside(sample, span)) continue;
+        ++sent;
+        answered += sample.outcome == query_outcome::answered ? 1 : 0;
+      }
+    }
+    if (Share(answered, sent) < kAnswered) continue;
+    if (Quantile(std::move(all), 0.99) <= kNear * healthy) {
+      return std::chrono::duration<double>(start).count();
+    }
+  }
+  return -1;
+}
+
+double LeastAnswered(std::span<const run_result> runs, rank r) {
+  double least = 1;
+  for (const run_result& run : runs) {
+    least = std::min(least, AnsweredShare(run, r));
+  }
+  return least;
+}
+
+double WorstExtra(std::span<const run_result> runs) {
+  double worst = 0;
+  for (const run_result& run : runs) {
+    worst = std::max(worst, ExtraPercent(run.measured));
+  }
+  return worst;
+}
+
+double LeastGoodput(std::span<const run_result> runs) {
+  double least = HUGE_VAL;
+  for (const run_result& run : runs) least = std::min(least, Goodput(run));
+  return least;
+}
+
+verdict JudgeFlood(std::span<const run_result> runs, rank flooded) {
+  constexpr double kUrgentRatio = 1.2;
+  constexpr double kUrgentAnswered = 0.999;
+  constexpr double kLeastGoodput = 0.95;
+  constexpr double kFloorNoise = 0.98;
+  verdict result;
+  const double floor = FloorRatio(runs, flooded);
+  const double goodput = LeastGoodput(runs);
+  result.met = floor >= kFloorNoise && goodput >= kLeastGoodput;
+  result.evidence.Number("floor_ratio", floor).Number("goodput", goodput);
+  if (flooded == rank::background) {
+    const double ratio = WorstRatio(runs, rank::urgent);
+    const double answered = LeastAnswered(runs, rank::urgent);
+    result.met &= ratio <= kUrgentRatio && answered >= kUrgentAnswered;
+    result.evidence.Number("urgent_p99_ratio", ratio)
+        .Number("urgent_answered", answered);
+  }
+  return result;
+}
+
+verdict JudgeReplicaLoss(std::span<const run_result> runs) {
+  constexpr double kLatencyTargetMs = 130;
+  constexpr double kInTime = 0.99;
+  std::uint64_t sent = 0;
+  std::uint64_t whole = 0;
+  std::uint64_t in_time = 0;
+  for (const run_result& run : runs) {
+    for (const query_sample& sample : run.samples) {
+      if (!Inside(sample, run.measured)) continue;
+      ++sent;
+      if (!HasAnswer(sample) || sample.coverage != kWholePpm) continue;
+      ++whole;
+      const double ms = static_cast<double>(sample.elapsed.count()) / 1000;
+      in_time += ms <= kLatencyTargetMs ? 1 : 0;
+    }
+  }
+  verdict result;
+  result.met = whole == sent && Share(in_time, sent) >= kInTime;
+  result.evidence.Number("full_coverage", Share(whole, sent))
+      .Number("full_within_130ms", Share(in_time, sent));
+  return result;
+}
+
+verdict JudgeIndexChange(std::span<const run_result> runs) {
+  std::uint64_t mixed = 0;
+  std::uint64_t overstated = 0;
+  std::size_t queries = 0;
+  for (const run_result& run : runs) {
+    mixed += run.faults.mixed;
+    overstated += run.faults.overstated;
+    queries += run.samples.size();
+  }
+  verdict result;
+  result.met = mixed == 0 && overstated == 0 && queries >= 100'000;
+  result.evidence.Number("queries", static_cast<double>(queries));
+  return result;
+}
+
+json_line RankFields(std::span<const run_result> runs, rank r) {
+  json_line line;
+  const auto filter = [&](const query_sample& sample) {
+    return sample.urgency == r;
+  };
+  constexpr std::array<std::pair<const char*, double>, 3> kQuantiles = {
+      {{"p50_ms", 0.5}, {"p99_ms", 0.99}, {"p999_ms", 0.999}}};
+  for (const auto& [name, quantile] : kQuantiles) {
+    line.Spread(name,
+                ForEachRun(runs,
+                           [&](const run_result& run) {
+                             return Quantile(
+                                 Latencies(run, run.measured, filter),
+                                 quantile);
+                           }),
+                true);
+  }
+  line.Spread(
+      "answered",
+      ForEachRun(runs, [&](const auto& run) { return AnsweredShare(run, r); }),
+      false);
+  line.Spread(
+      "coverage",
+      ForEachRun(runs, [&](const auto& run) { return MeanCoverage(run, r); }),
+      false);
+  return line;
+}
+
+}  // namespace
+
+void json_line::Key(std::string_view key) {
+  if (!fields_.empty()) fields_ += ',';
+  fields_.append("\"").append(key).append("\":");
+}
+
+json_line& json_line::Text(std::string_view key, std::string_view value) {
+  Key(key);
+  fields_.append("\"").append(value).append("\"");
+  return *this;
+}
+
+json_line& json_line::Number(std::string_view key, double value) {
+  if (!std::isfinite(value)) return Null(key);
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.6g", value);
+  Key(key);
+  fields_ += text.data();
+  return *this;
+}
+
+json_line& json_line::Flag(std::string_view key, bool value) {
+  Key(key);
+  fields_ += value ? "true" : "false";
+  return *this;
+}
+
+json_line& json_line::Null(std::string_view key) {
+  Key(key);
+  fields_ += "null";
+  return *this;
+}
+
+json_line& json_line::Object(std::string_view key, const json_line& value) {
+  Key(key);
+  fields_ += value.Close();
+  return *this;
+}
+
+json_line& json_line::Spread(std::string_view key, std::vector<double> values,
+                             bool high_is_worse) {
+  std::sort(values.begin(), values.end());
+  json_line spread;
+  spread.Number("median", values[values.size() / 2]);
+  spread.Number("worst", high_is_worse ? values.back() : values.front());
+  return Object(key, spread);
+}
+
+std::vector<double> Latencies(const run_result& run, const window_span& span,
+                              const sample_filter& filter) {
+  std::vector<double> values;
+  for (const query_sample& sample : run.samples) {
+    if (!Inside(sample, span) || !HasAnswer(sample) || !filter(sample)) {
+      continue;
+    }
+    values.push_back(static_cast<double>(sample.elapsed.count()) / 1000);
+  }
+  return values;
+}
+
+double Quantile(std::vector<double> values, double quantile) {
+  if (values.empty()) return 0;
+  const auto last = static_cast<double>(values.size() - 1);
+  const auto index = static_cast<std::ptrdiff_t>(std::ceil(quantile * last));
+  std::nth_element(values.begin(), values.begin() + index, values.end());
+  return values[static_cast<std::size_t>(index)];
+}
+
+verdict Judge(target_kind target, std::span<const run_result> runs) {
+  constexpr double kMostExtra = 5;
+  constexpr double kMostRecovery = 5;
+  constexpr double kStragglerRatio = 2;
+  verdict result;
+  switch (target) {
+    case target_kind::none:
+      result.met = true;
+      break;
+    case target_kind::straggler: {
+      const double ratio = WorstRatio(runs, std::nullopt);
+      result.met = ratio <= kStragglerRatio && WorstExtra(runs) <= kMostExtra;
+      result.evidence.Number("p99_ratio", ratio);
+      break;
+    }
+    case target_kind::background_flood:
+      return JudgeFlood(runs, rank::background);
+    case target_kind::urgent_flood:
+      return JudgeFlood(runs, rank::urgent);
+    case target_kind::replica_loss:
+      return JudgeReplicaLoss(runs);
+    case target_kind::slow:
+      result.met = WorstExtra(runs) <= kMostExtra;
+      result.evidence.Number("extra_pct", WorstExtra(runs));
+      break;
+    case target_kind::recovery: {
+      const double seconds = RecoverySeconds(runs);
+      result.met = seconds >= 0 && seconds <= kMostRecovery;
+      result.evidence.Number("recovery_s", seconds);
+      break;
+    }
+    case target_kind::index_change:
+      return JudgeIndexChange(runs);
+  }
+  return result;
+}
+
+std::string ReportLine(const load_scenario& scenario,
+                       std::string_view deployment, version_kind version,
+                       std::span<const run_result> runs) {
+  json_line line;
+  line.Text("bench", "decisions").Text("scenario", scenario.name);
+  line.Text("deployment", deployment);
+  line.Text("version", kVersionNames[static_cast<std::size_t>(version)]);
+  line.Number("seeds", static_cast<double>(runs.size()));
+  if (runs[0].measured.end > runs[0].measured.begin) {
+    for (const rank r : kAllRanks) {
+      line.Object(RankName(r), RankFields(runs, r));
+    }
+    line.Spread(
+        "extra_pct",
+        ForEachRun(runs,
+                   [](const auto& run) { return ExtraPercent(run.measured); }),
+        true);
+    line.Spread("waste_pct", ForEachRun(runs, WastePercent), true);
+    line.Spread("goodput", ForEachRun(runs, Goodput), false);
+  }
+  driver::answer_faults faults;
+  for (const run_result& run : runs) {
+    faults.mixed += run.faults.mixed;
+    faults.overstated += run.faults.overstated;
+    faults.crossed += run.faults.crossed;
+    faults.repeated += run.faults.repeated;
+  }
+  line.Number("mixed", static_cast<double>(faults.mixed))
+      .Number("overstated", static_cast<double>(faults.overstated))
+      .Number("crossed", static_cast<double>(faults.crossed))
+      .Number("repeated", static_cast<double>(faults.repeated));
+  verdict judged = Judge(scenario.target, runs);
+  line.Object("evidence", judged.evidence).Text("target", scenario.goal);
+  if (version != version_kind::tier || scenario.target == target_kind::none) {
+    line.Null("met");
+  } else {
+    line.Flag("met", judged.met);
+  }
+  return line.Close();
+}
+
+}  // namespace corianderrail::bench
--- a/tests/driver/deployment.cpp
+++ b/tests/driver/deployment.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/host_address.h"
+
 namespace corianderrail::driver {
 
 namespace {
@@ -33,14 +35,6 @@
   return hosts;
 }
 
-std::uint64_t HashText(const std::string& text) {
-  std::uint64_t hash = 0xCBF29CE484222325ULL;
-  for (const char byte : text) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001B3ULL;
-  }
-  return hash;
-}
-
 }  // namespace
 
 deployment_plan Peachline() {
@@ -130,7 +124,7 @@
         leaf_info leaf;
         leaf.address = "10." + std::to_string(c + 1) + '.' + std::to_string(s) +
                        '.' + std::to_string(r + 1) + ":8000";
-        leaf.id = leaf_id{HashText(leaf.address)};
+        leaf.id = LeafIdOf(leaf.address);
         leaf.zone = service.zone;
         leaf.slots = from.slots;
         leaf.connections = from.connections;
--- a/tests/driver/load_generator.cpp
+++ b/tests/driver/load_generator.cpp
@@ -36,9 +36,13 @@
   for (std::size_t i = 0; i < streams_.size(); ++i) PlanNext(i);
 }
 
-void load_generator::SetFactor(rank urgency, double factor) {
+void load_generator::SetFactor(rank urgency,
+                               std::optional<std::uint32_t> collection,
+                               double factor) {
   for (std::size_t i = 0; i < streams_.size(); ++i) {
-    if (streams_[i].stream.urgency != urgency) continue;
+    const load_stream& stream = streams_[i].stream;
+    if (stream.urgency != urgency) continue;
+    if (collection && stream.collection != *collection) continue;
     streams_[i].factor = factor;
     ++streams_[i].round;
     PlanNext(i);
--- a/tests/driver/load_generator.h
+++ b/tests/driver/load_generator.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -61,8 +62,9 @@
   /** Starts arrivals of all streams. */
   void Start();
 
-  /** Multiplies the rate of streams of a rank. */
-  void SetFactor(rank urgency, double factor);
+  /** Sets the factor on the rates of a rank, in one collection or all. */
+  void SetFactor(rank urgency, std::optional<std::uint32_t> collection,
+                 double factor);
 
   /** No arrivals from now on. */
   void Stop();
--- /dev/null
+++ b/tests/driver/tier_host.h
@@ -0,0 +1,47 @@
+/** @file tier_host.h The real reducer as a host of the virtual fleet. */
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "core/host_reducer.h"
+#include "driver/deployment.h"
+#include "driver/fleet_type.h"
+
+namespace corianderrail::driver {
+
+/** Wraps host_reducer. */
+class tier_host : public fleet_host {
+ public:
+  explicit tier_host(host_settings settings) : reducer_(std::move(settings)) {}
+
+  void Start(time_point now, effect_list& effects) override {
+    reducer_.Start(now, effects);
+  }
+  void Reduce(const event& event, time_point now,
+              effect_list& effects) override {
+    reducer_.Reduce(event, now, effects);
+  }
+  time_point NextWake() const override { return reducer_.NextWake(); }
+  peer_message Envelope(const send_peer_effect& effect) const override {
+    return reducer_.Envelope(effect);
+  }
+  host_view View() const { return reducer_.View(); }
+
+ private:
+  host_reducer reducer_;
+};
+
+/** Settings of a host of a deployment; validators answer from the store. */
+host_settings TierSettings(const document_store& store, std::size_t index,
+                           incarnation_id life, time_point now,
+                           std::uint64_t seed);
+
+/** Builds hosts of the tier. */
+host_factory TierFactory(const document_store& store, std::uint64_t seed);
+
+/** Time from the start of a fleet until its hosts use their rate shares. */
+inline constexpr duration kTierStart = std::chrono::seconds(8);
+
+}  // namespace corianderrail::driver
