--- a/bench/baseline_host.cpp
+++ b/bench/baseline_host.cpp
@@ -77,8 +77,6 @@
   }
   open.call = query.call;
   open.request_id = request.request_id;
-  open.payload = request.payload;
-  open.collection = work->collection;
   open.started = now;
   open.deadline = now + request.deadline;
   open.map = &collections[collection].maps.back();
@@ -92,8 +90,15 @@
   const auto keep = open.map_owner;
   queries_.emplace(id, std::move(open));
   for (std::uint32_t i = 0; i < map->partitions.size(); ++i) {
-    Begin({id, i, map->partitions[i].service, work->urgency, deadline}, now,
-          effects);
+    auto wanted = std::make_shared<leaf_request>();
+    wanted->collection = work->collection;
+    wanted->snapshot = map->snapshot;
+    wanted->range = map->partitions[i].range;
+    wanted->urgency = work->urgency;
+    wanted->payload = request.payload;
+    Begin({id, i, map->partitions[i].service, work->urgency, deadline, 0,
+           std::move(wanted)},
+          now, effects);
   }
 }
 
@@ -109,15 +114,7 @@
   send_leaf_effect send;
   send.call = call;
   send.leaf = leaf;
-  const auto found = queries_.find(part.query);
-  if (found != queries_.end()) {
-    const open_query& query = found->second;
-    send.request.collection = query.collection;
-    send.request.snapshot = query.map->snapshot;
-    send.request.range = query.map->partitions[part.index].range;
-    send.request.payload = query.payload;
-  }
-  send.request.urgency = part.urgency;
+  send.request = *part.request;
   send.request.remaining = std::max(part.deadline - now, duration(0));
   effects.push_back(std::move(send));
   return call;
--- a/bench/baseline_host.h
+++ b/bench/baseline_host.h
@@ -21,12 +21,13 @@
 
 /** One part of an open query. */
 struct baseline_part {
-  std::uint64_t query = 0;     ///< Open query.
-  std::uint32_t index = 0;     ///< Partition.
-  service_id service{};        ///< Service of the partition.
-  rank urgency{};              ///< Rank of the query.
-  time_point deadline{};       ///< Deadline of the query.
-  std::uint32_t attempts = 0;  ///< Requests sent so far.
+  std::uint64_t query = 0;                      ///< Open query.
+  std::uint32_t index = 0;                      ///< Partition.
+  service_id service{};                         ///< Service of the partition.
+  rank urgency{};                               ///< Rank of the query.
+  time_point deadline{};                        ///< Deadline of the query.
+  std::uint32_t attempts = 0;                   ///< Requests sent so far.
+  std::shared_ptr<const leaf_request> request;  ///< What leafs are sent.
 };
 
 /** Plans queries, gathers parts and answers; subclasses talk to leafs. */
@@ -76,8 +77,6 @@
   struct open_query {
     call_id call{};
     std::string request_id;
-    std::string payload;
-    std::string collection;
     time_point started{};
     time_point deadline{};
     std::shared_ptr<const topology> map_owner;
--- a/bench/load_scenarios.cpp
+++ b/bench/load_scenarios.cpp
@@ -2,7 +2,9 @@
 
 #include "load_scenarios.h"
 
+#include <algorithm>
 #include <array>
+#include <optional>
 
 namespace corianderrail::bench {
 
@@ -146,8 +148,9 @@
 void PlayIndexChange(scenario_run& run) {
   run.MeasureReference();
   const int windows = static_cast<int>(run.Window() / kIndexPeriod) + 1;
-  for (int i = 0; i < std::max(windows, kIndexChanges); ++i) ChangeIndex(run);
-  run.MeasureFault();
+  run.MeasureFault([&] {
+    for (int i = 0; i < std::max(windows, kIndexChanges); ++i) ChangeIndex(run);
+  });
 }
 
 constexpr std::array kScenarios = {
--- a/bench/scenario_run.cpp
+++ b/bench/scenario_run.cpp
@@ -92,12 +92,12 @@
   fleet_->RunUntil(fleet_->Now() + length);
 }
 
-window_span scenario_run::Measure() {
+window_span scenario_run::Measure(const std::function<void()>& steps) {
   window_span span;
   span.begin = fleet_->Now();
   span.leaf_requests = load_->LeafRequests();
   span.leaf_parts = load_->LeafParts();
-  Run(settings_.window);
+  steps();
   span.end = fleet_->Now();
   span.leaf_requests = load_->LeafRequests() - span.leaf_requests;
   span.leaf_parts = load_->LeafParts() - span.leaf_parts;
--- a/bench/scenario_run.h
+++ b/bench/scenario_run.h
@@ -2,7 +2,9 @@
 
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -82,6 +84,11 @@
   /** Measures the window under the fault. */
   void MeasureFault() { result_.measured = Measure(); }
 
+  /** Measures while steps are carried out. */
+  void MeasureFault(const std::function<void()>& steps) {
+    result_.measured = Measure(steps);
+  }
+
   /** Marks the end of the fault. */
   void MarkEnd() { result_.ended = fleet_->Now(); }
 
@@ -92,7 +99,10 @@
   run_result Finish();
 
  private:
-  window_span Measure();
+  window_span Measure() {
+    return Measure([this] { Run(settings_.window); });
+  }
+  window_span Measure(const std::function<void()>& steps);
   std::vector<driver::load_stream> Streams() const;
 
   run_settings settings_;
--- /dev/null
+++ b/tests/driver/invariant_test.cpp
@@ -0,0 +1,240 @@
+/** @file invariant_test.cpp Invariants of the tier in virtual time. */
+
+#include <catch2/catch.hpp>
+
+#include "driver/load_generator.h"
+#include "driver/order_load.h"
+#include "driver/tier_host.h"
+
+namespace corianderrail::driver {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A small fleet of the tier under load. */
+class tier_fleet {
+ public:
+  tier_fleet(std::uint64_t seed, double load)
+      : store_(SmallPlan()),
+        fleet_(store_.Plan().hosts, store_.Plan().delays,
+               TierFactory(store_, seed), seed),
+        load_(fleet_, Streams(load), kDeadline, seed) {
+    store_.Install(fleet_, fake_leaf_settings{}, seed);
+    for (std::size_t i = 0; i < fleet_.HostCount(); ++i) fleet_.StartHost(i);
+    Run(kTierStart);
+    load_.Start();
+  }
+
+  void Run(duration length) { fleet_.RunUntil(fleet_.Now() + length); }
+
+  void Finish() {
+    load_.Stop();
+    Run(kDeadline + seconds(1));
+  }
+
+  std::uint64_t Count(rank r, query_outcome outcome) const {
+    std::uint64_t count = 0;
+    for (const query_sample& sample : load_.Samples()) {
+      count += sample.urgency == r && sample.outcome == outcome ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Share of a rank's queries with this outcome. */
+  double Share(rank r, query_outcome outcome) const {
+    double total = 0;
+    for (const query_sample& sample : load_.Samples()) {
+      total += sample.urgency == r ? 1 : 0;
+    }
+    return total == 0 ? 0 : static_cast<double>(Count(r, outcome)) / total;
+  }
+
+  document_store& Store() { return store_; }
+  virtual_fleet& Fleet() { return fleet_; }
+  load_generator& Load() { return load_; }
+
+ private:
+  std::vector<load_stream> Streams(double load) const {
+    std::vector<load_stream> streams;
+    const auto& collections = store_.Plan().collections;
+    for (std::uint32_t c = 0; c < collections.size(); ++c) {
+      const collection_plan& plan = collections[c];
+      const double rate = load * Capacity(plan, {}) / plan.services;
+      for (const rank r : kAllRanks) {
+        streams.push_back({r, c, plan.name, plan.services * kPartitionWidth,
+                           rate / kRankCount});
+      }
+    }
+    return streams;
+  }
+
+  document_store store_;
+  virtual_fleet fleet_;
+  load_generator load_;
+};
+
+// Guards against hosts that never become ready: all other tests would pass
+// because nothing is admitted.
+TEST_CASE("Tier_HealthyLoad_AnswersAllQueries") {
+  for (const std::uint64_t seed : {1, 2}) {
+    INFO("seed " << seed);
+    tier_fleet tier(seed, 0.5);
+    tier.Run(seconds(2));
+    tier.Finish();
+    for (const rank r : kAllRanks) {
+      INFO(RankName(r));
+      CHECK(tier.Share(r, query_outcome::answered) > 0.999);
+    }
+  }
+}
+
+// Guards against answers that merge two snapshots, and against coverage that
+// counts keys nobody read, while the index is repartitioned.
+TEST_CASE("Tier_IndexChangesUnderLoad_KeepsSnapshotsAndCoverageTrue") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    INFO("seed " << seed);
+    tier_fleet tier(seed, 0.4);
+    random_source random(seed);
+    for (int change = 0; change < 3; ++change) {
+      tier.Store().AddSnapshot();
+      const std::uint64_t old = tier.Store().Snapshots().front();
+      const std::uint64_t fresh = tier.Store().Snapshots().back();
+      for (const service_info& service : tier.Store().Topology()->services) {
+        tier.Fleet().After(duration(random.Below(300'000)),
+                           [&tier, service, fresh] {
+                             tier.Store().Load(tier.Fleet(), service, fresh);
+                           });
+        tier.Fleet().After(
+            milliseconds(400) + duration(random.Below(300'000)),
+            [&tier, service, old] {
+              for (const leaf_info& leaf : service.leafs) {
+                tier.Fleet().leafs.Leaf(leaf.id).Drop(snapshot_id{old});
+              }
+            });
+      }
+      tier.Run(milliseconds(150));
+      tier.Store().Publish(tier.Fleet());
+      tier.Run(milliseconds(350));
+      tier.Store().RemoveSnapshot();
+      tier.Store().Publish(tier.Fleet());
+      tier.Run(milliseconds(500));
+    }
+    tier.Finish();
+    const answer_faults& faults = tier.Load().Faults();
+    CHECK(tier.Load().Samples().size() > 1000);
+    CHECK(tier.Share(rank::urgent, query_outcome::answered) > 0.5);
+    CHECK(faults.mixed == 0);
+    CHECK(faults.overstated == 0);
+    CHECK(faults.crossed == 0);
+  }
+}
+
+// Guards against owners that queue inside the leaf, where neither rank nor
+// cancellation reaches the work.
+TEST_CASE("Tier_LoadAboveCapacity_NeverExceedsSlots") {
+  for (const std::uint64_t seed : {1, 2}) {
+    INFO("seed " << seed);
+    tier_fleet tier(seed, 2);
+    tier.Run(seconds(2));
+    tier.Finish();
+    for (const service_info& service : tier.Store().Topology()->services) {
+      for (const leaf_info& leaf : service.leafs) {
+        INFO(leaf.address);
+        const fake_leaf& self = tier.Fleet().leafs.Leaf(leaf.id);
+        CHECK(self.Submitted() > 0);
+        CHECK(self.Peak() <= self.Settings().slots);
+      }
+    }
+  }
+}
+
+// Guards against calls that are answered twice or never while hosts pause and
+// leafs die.
+TEST_CASE("Tier_PausesAndDeadLeafs_AnswersEachCallOnce") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    INFO("seed " << seed);
+    tier_fleet tier(seed, 0.5);
+    tier.Fleet().faults = {0.02, 0.05, 0.1, milliseconds(100), 0.01};
+    tier.Run(milliseconds(500));
+    tier.Fleet().PauseHost(1, milliseconds(300));
+    const leaf_id leaf = tier.Store().Topology()->services[0].leafs[0].id;
+    tier.Fleet().leafs.SetUp(leaf, false);
+    tier.Run(seconds(1));
+    tier.Fleet().leafs.SetUp(leaf, true);
+    tier.Fleet().PauseHost(2, seconds(3));
+    tier.Run(seconds(4));
+    tier.Finish();
+    for (const rank r : kAllRanks) {
+      CHECK(tier.Count(r, query_outcome::open) == 0);
+      CHECK(tier.Count(r, query_outcome::lost) == 0);
+    }
+    CHECK(tier.Load().Faults().repeated == 0);
+    CHECK(tier.Fleet().repeated_answers == 0);
+    CHECK(tier.Load().Faults().crossed == 0);
+  }
+}
+
+// Guards against a flood of the least urgent work that starves urgent work.
+TEST_CASE("Tier_BackgroundFlood_ServesUrgentWork") {
+  for (const std::uint64_t seed : {1, 2}) {
+    INFO("seed " << seed);
+    tier_fleet tier(seed, 0.4);
+    tier.Run(seconds(1));
+    tier.Load().SetFactor(rank::background, std::nullopt, 50);
+    tier.Run(seconds(2));
+    tier.Finish();
+    CHECK(tier.Share(rank::urgent, query_outcome::answered) > 0.99);
+    CHECK(tier.Share(rank::background, query_outcome::answered) > 0.01);
+  }
+}
+
+// Guards against runs that cannot be repeated from the seed in a report.
+TEST_CASE("Tier_SameSeed_RepeatsTheRun") {
+  tier_fleet first(5, 0.5);
+  tier_fleet second(5, 0.5);
+  for (tier_fleet* tier : {&first, &second}) {
+    tier->Run(milliseconds(500));
+    tier->Finish();
+  }
+  const auto& one = first.Load().Samples();
+  const auto& two = second.Load().Samples();
+  REQUIRE(one.size() == two.size());
+  for (std::size_t i = 0; i < one.size(); ++i) {
+    REQUIRE(one[i].elapsed == two[i].elapsed);
+  }
+}
+
+// Guards against orders that run twice, and against not_run for orders that
+// ran, under drops, duplicates, delays, pauses, kills and partitions.
+TEST_CASE("Tier_OrdersUnderAllFaults_RunAtMostOnce") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    INFO("seed " << seed);
+    order_run_settings settings;
+    settings.seed = seed;
+    settings.orders = 2000;
+    const order_run_result result = RunOrders(settings);
+    CHECK(result.sent > 500);
+    CHECK(result.ran > 100);
+    CHECK(result.run_twice == 0);
+    CHECK(result.wrong_not_run == 0);
+    CHECK(result.wrong_ran == 0);
+    CHECK(result.repeated == 0);
+    CHECK(result.unanswered == 0);
+  }
+}
+
+// Guards against faults of the driver itself that look like faults of orders.
+TEST_CASE("Tier_OrdersWithoutFaults_AllRun") {
+  order_run_settings settings;
+  settings.orders = 1000;
+  settings.faults = false;
+  const order_run_result result = RunOrders(settings);
+  CHECK(result.sent == 1000);
+  CHECK(result.ran == result.sent);
+  CHECK(result.said_ran == result.sent);
+  CHECK(result.run_twice == 0);
+}
+
+}  // namespace
+}  // namespace corianderrail::driver
