--- a/packages/core/tests/service_owner_order_test.cpp
+++ b/packages/core/tests/service_owner_order_test.cpp
@@ -8,7 +8,7 @@
 namespace corianderrail {
 namespace {
 
-const order_id kOrder{kEntry, 1};
+constexpr order_id kOrder{kEntry, 1};
 
 // Guards against running a copy of an order that was already taken.
 TEST_CASE("ServiceOwner_DuplicateAttempt_RunsOnce") {
