--- a/packages/core/leaf_dispatch.cpp
+++ b/packages/core/leaf_dispatch.cpp
@@ -225,7 +225,7 @@
       continue;
     }
     if (!leaf->HasFreeSlot() || !Suits(task, *leaf)) continue;
-    if (leaf->Lacks(snapshot, now)) continue;
+    if (leaf->Lacks(snapshot, task.part->range, now)) continue;
     if (!service.budget.TakeForFault()) return;
     leaf->probing = true;
     Send(id, *leaf, call_purpose::probe, now, effects);
--- a/packages/core/leaf_health.cpp
+++ b/packages/core/leaf_health.cpp
@@ -108,19 +108,22 @@
   StartCold();
 }
 
-void leaf_health::NoteLacks(snapshot_id snapshot, time_point now) {
+void leaf_health::NoteLacks(snapshot_id snapshot, const key_range& range,
+                            time_point now) {
   for (lack& known : lacks_) {
-    if (known.snapshot != snapshot) continue;
+    if (known.snapshot != snapshot || !(known.range == range)) continue;
     known.until = now + kLackLife;
     return;
   }
-  lacks_[next_lack_] = {snapshot, now + kLackLife};
+  lacks_[next_lack_] = {snapshot, range, now + kLackLife};
   next_lack_ = (next_lack_ + 1) % lacks_.size();
 }
 
-bool leaf_health::Lacks(snapshot_id snapshot, time_point now) const {
+bool leaf_health::Lacks(snapshot_id snapshot, const key_range& range,
+                        time_point now) const {
   return std::any_of(lacks_.begin(), lacks_.end(), [&](const lack& known) {
-    return known.snapshot == snapshot && now < known.until;
+    return known.snapshot == snapshot && known.range == range &&
+           now < known.until;
   });
 }
 
--- a/packages/core/leaf_health.h
+++ b/packages/core/leaf_health.h
@@ -91,14 +91,19 @@
   void Readmit(time_point now);
   void ProbeFailed(time_point now);
 
-  /** Remembers for a short time that the leaf does not hold a snapshot. */
-  void NoteLacks(snapshot_id snapshot, time_point now);
-  bool Lacks(snapshot_id snapshot, time_point now) const;
+  /**
+   * Remembers for a short time that the leaf does not hold a part of a
+   * snapshot. After a repartition it may hold other parts of the same one.
+   */
+  void NoteLacks(snapshot_id snapshot, const key_range& range, time_point now);
+  bool Lacks(snapshot_id snapshot, const key_range& range,
+             time_point now) const;
 
  private:
-  /** A snapshot that the leaf said it does not hold. */
+  /** A part of a snapshot that the leaf said it does not hold. */
   struct lack {
     snapshot_id snapshot{};  ///< The snapshot.
+    key_range range;         ///< The part.
     time_point until{};      ///< Ask again after this.
   };
 
@@ -110,7 +115,7 @@
   duration least_ = duration::max();  ///< Lowest latency seen.
   duration backoff_{};                ///< Pause before the next probe.
   time_point readmitted_{};           ///< Time of the last readmission.
-  std::array<lack, 2> lacks_{};
+  std::array<lack, 4> lacks_{};
   std::size_t next_lack_ = 0;
 };
 
--- a/packages/core/leaf_watch.cpp
+++ b/packages/core/leaf_watch.cpp
@@ -97,7 +97,8 @@
       break;
     case leaf_status::wrong_snapshot:
       if (!order) {
-        leaf.NoteLacks(batches.Find(task.batch)->snapshot, now);
+        leaf.NoteLacks(batches.Find(task.batch)->snapshot, task.part->range,
+                       now);
       }
       task.last = part_status::wrong_snapshot;
       break;
--- a/packages/core/replica_choice.cpp
+++ b/packages/core/replica_choice.cpp
@@ -75,7 +75,8 @@
     choice.any_free = choice.any_free || free;
     if (!Suits(task, *leaf)) continue;
     ++suitable;
-    const bool lacks = !task.order && leaf->Lacks(snapshot, now);
+    const bool lacks =
+        !task.order && leaf->Lacks(snapshot, task.part->range, now);
     if (lacks) ++lacking;
     if (std::find(task.tried.begin(), tried_end, leaf->info.id) != tried_end) {
       continue;
@@ -116,7 +117,8 @@
   double best_estimate = std::min(age, left);
   for (leaf_health* leaf : service.leafs) {
     if (leaf == call.leaf || leaf->ejected || !leaf->HasFreeSlot()) continue;
-    if (!Suits(task, *leaf) || leaf->Lacks(snapshot, now)) continue;
+    if (!Suits(task, *leaf) || leaf->Lacks(snapshot, task.part->range, now))
+      continue;
     if (std::find(task.tried.begin(), tried_end, leaf->info.id) != tried_end) {
       continue;
     }
--- a/packages/core/tests/service_owner_fault_test.cpp
+++ b/packages/core/tests/service_owner_fault_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "core/leaf_health.h"
 #include "owner_fixture.h"
 
 namespace corianderrail {
@@ -170,6 +171,17 @@
   CHECK(bench.results.back().second.newest == snapshot_id{9});
 }
 
+// Guards against a wrong_snapshot answer for a part that the leaf holds,
+// because it lacks another part of the snapshot after a repartition.
+TEST_CASE("LeafHealth_LacksOnePart_KeepsOthers") {
+  leaf_health leaf;
+  const time_point now{};
+  leaf.NoteLacks(kSnapshot, {0, 10}, now);
+  CHECK(leaf.Lacks(kSnapshot, {0, 10}, now));
+  CHECK_FALSE(leaf.Lacks(kSnapshot, {10, 20}, now));
+  CHECK_FALSE(leaf.Lacks(kSnapshot, {0, 10}, now + milliseconds(500)));
+}
+
 // Guards against shed requests that are lost or that multiply.
 TEST_CASE("ServiceOwner_SheddingLeaf_RetriesWithinBudget") {
   owner_fixture bench;
