--- a/packages/core/limit_share.cpp
+++ b/packages/core/limit_share.cpp
@@ -44,7 +44,7 @@
     : self_(std::move(self)),
       settings_(settings),
       hold_(settings.lease + settings.lease / kMarginDivisor),
-      seats_(self_, settings.lease, started + hold_),
+      seats_(self_, settings.lease),
       sequence_(MixHash(Raw(self_.ref.incarnation))),
       last_tick_(started) {}
 
@@ -112,6 +112,8 @@
   if (!set) return;
   AccrueAll(now);
   const bool seats_changed = seats_.SetSeats(set->seats);
+  // The first set counts as a change: the predecessor at this address may have
+  // lent its share just before this host started.
   const time_point settle = seats_changed ? now + hold_ : now;
   std::map<std::string, kind_map, std::less<>> before;
   std::swap(before, customers_);
--- a/packages/core/seat_table.cpp
+++ b/packages/core/seat_table.cpp
@@ -20,13 +20,11 @@
 
 }  // namespace
 
-seat_table::seat_table(const member_record& self, duration lease,
-                       time_point hold_until)
+seat_table::seat_table(const member_record& self, duration lease)
     : peer_address_(self.peer_address),
       caller_address_(self.caller_address),
       self_(self.ref.host),
-      lease_(lease),
-      hold_until_(hold_until) {}
+      lease_(lease) {}
 
 bool seat_table::SetSeats(std::span<const std::string> seats) {
   if (std::equal(seats.begin(), seats.end(), seats_.begin(), seats_.end())) {
@@ -117,7 +115,7 @@
     return;
   }
   if (usable_.begin == kNever || now >= usable_.end) {
-    usable_.begin = std::max(now, hold_until_);
+    usable_.begin = now;
   }
   usable_.end = until;
 }
--- a/packages/core/seat_table.h
+++ b/packages/core/seat_table.h
@@ -21,14 +21,12 @@
 };
 
 /**
- * Says when this host may use the base share of its seat: it holds a seat, the
- * leases that its predecessor may have given have expired, and a majority of
- * the seats was heard of within the last lease.
+ * Says when this host may use the base share of its seat: it holds a seat, and
+ * a majority of the seats was heard of within the last lease.
  */
 class seat_table {
  public:
-  /** @param hold Time after the start before the base share is used. */
-  seat_table(const member_record& self, duration lease, time_point hold_until);
+  seat_table(const member_record& self, duration lease);
 
   /** Replaces the seats. @return True when they differ. */
   bool SetSeats(std::span<const std::string> seats);
@@ -73,7 +71,6 @@
   std::string caller_address_;
   host_id self_;
   duration lease_;
-  time_point hold_until_;
   std::vector<std::string> seats_;
   std::vector<member_record> members_;
   std::vector<seat> table_;
--- /dev/null
+++ b/packages/core/tests/lifecycle_test.cpp
@@ -0,0 +1,214 @@
+/** @file lifecycle_test.cpp Tests of the phases and of address answers. */
+
+#include "core/lifecycle.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <set>
+
+#include "core/address_book.h"
+
+namespace corianderrail {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A lifecycle whose inputs are all good. */
+class lifecycle_fixture {
+ protected:
+  lifecycle_fixture() : life({}, time_point{}) {
+    inputs = {true, true, true, true, true, false};
+  }
+
+  bool Update() { return life.Update(inputs, now, effects); }
+
+  /** Passes time in ticks, as the reducer does. */
+  void Pass(duration span) {
+    const time_point end = now + span;
+    while (now < end) {
+      now = std::min(life.NextWake(), end);
+      life.ObserveClock(now);
+      Update();
+    }
+  }
+
+  lifecycle life;
+  lifecycle_inputs inputs;
+  effect_list effects;
+  time_point now{};
+};
+
+// Guards against a host that takes callers before it knows what it needs.
+TEST_CASE_METHOD(lifecycle_fixture, "Lifecycle_AnyInputMissing_NotReady") {
+  for (bool lifecycle_inputs::*input :
+       {&lifecycle_inputs::contracts, &lifecycle_inputs::topology,
+        &lifecycle_inputs::members, &lifecycle_inputs::reads_done,
+        &lifecycle_inputs::format_ok}) {
+    inputs.*input = false;
+    CHECK_FALSE(Update());
+    CHECK_FALSE(life.TakesCallers());
+    inputs.*input = true;
+  }
+  CHECK(Update());
+  CHECK(life.Phase() == host_phase::ready);
+  CHECK(life.TakesCallers());
+}
+
+// Guards against hosts that leave the address answers during every change.
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "Lifecycle_ReadyHostFallsBehind_StaysReady") {
+  Update();
+  inputs.contracts = false;
+  inputs.members = false;
+  CHECK_FALSE(Update());
+  CHECK(life.Phase() == host_phase::ready);
+}
+
+// Guards against a host that cannot read the contracts and stays in answers.
+TEST_CASE_METHOD(lifecycle_fixture, "Lifecycle_FormatTooOld_LeavesReady") {
+  Update();
+  inputs.format_ok = false;
+  CHECK(Update());
+  CHECK_FALSE(life.TakesCallers());
+}
+
+// Guards against a pause that is not noticed, or noticed more than once.
+TEST_CASE_METHOD(lifecycle_fixture, "Lifecycle_ClockGap_ReportedOnce") {
+  Update();
+  now += seconds(60);
+  CHECK(life.ObserveClock(now));
+  CHECK_FALSE(life.ObserveClock(now));
+  CHECK_FALSE(life.TakesCallers());
+  inputs.members = false;
+  CHECK(Update());
+  inputs.members = true;
+  CHECK(Update());
+  CHECK(life.TakesCallers());
+}
+
+// Guards against an idle host that is taken for a paused one.
+TEST_CASE_METHOD(lifecycle_fixture, "Lifecycle_IdleHost_WakesWithinTheGap") {
+  Update();
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(life.NextWake() <= now + milliseconds(500));
+    now = life.NextWake();
+    REQUIRE_FALSE(life.ObserveClock(now));
+  }
+}
+
+// Guards against a stop that cuts off callers whose address answers are valid.
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "Lifecycle_Stop_ServesUntilAnswersExpireThenStopsOnce") {
+  Update();
+  inputs.idle = true;
+  life.OnStop(now);
+  CHECK(Update());
+  CHECK(life.Phase() == host_phase::draining);
+  Pass(milliseconds(5900));
+  CHECK(life.TakesCallers());
+  CHECK(effects.empty());
+  inputs.idle = false;
+  Pass(seconds(5));
+  CHECK_FALSE(life.TakesCallers());
+  CHECK(effects.empty());
+  inputs.idle = true;
+  Pass(seconds(30));
+  CHECK(life.Phase() == host_phase::stopped);
+  CHECK(effects.size() == 1);
+}
+
+// Guards against a drain that never ends because of one open request.
+TEST_CASE_METHOD(lifecycle_fixture, "Lifecycle_NeverIdle_StopsAtDrainLimit") {
+  Update();
+  life.OnStop(now);
+  Pass(seconds(29));
+  CHECK(effects.empty());
+  Pass(seconds(2));
+  CHECK(effects.size() == 1);
+}
+
+// Guards against a second stop that waits for the drain.
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "Lifecycle_SecondStop_StopsWithoutWaiting") {
+  Update();
+  inputs.idle = true;
+  life.OnStop(now);
+  Update();
+  life.OnStop(now);
+  CHECK(life.StopAtOnce());
+  CHECK(Update());
+  CHECK(effects.size() == 1);
+}
+
+member_record Entry(std::uint64_t number, const std::string& zone,
+                    const std::string& region) {
+  member_record member;
+  member.ref.host = host_id{number};
+  member.zone = zone;
+  member.region = region;
+  member.ready = true;
+  member.capacity = 1;
+  member.caller_address = "c" + std::to_string(number);
+  return member;
+}
+
+/** Six hosts in three zones. */
+class address_fixture {
+ protected:
+  address_fixture() {
+    for (std::uint64_t i = 0; i < 6; ++i) {
+      const std::string zone(1, static_cast<char>('a' + i % 3));
+      members.push_back(Entry(i + 1, zone, zone == "c" ? "far" : "near"));
+    }
+  }
+  std::vector<entry_address> Choose(std::string_view customer,
+                                    std::string_view zone) const {
+    return ChooseAddresses(members, customer, zone, {});
+  }
+  std::vector<member_record> members;
+};
+
+// Guards against callers sent to far hosts, and against answers that name one
+// zone only.
+TEST_CASE_METHOD(address_fixture,
+                 "AddressBook_CallerInZone_OwnZoneFirstThenAnother") {
+  const auto chosen = Choose("acme", "a");
+  REQUIRE(chosen.size() == 3);
+  CHECK(chosen[0].zone == "a");
+  CHECK(chosen[1].zone == "a");
+  CHECK(chosen[2].zone == "b");
+}
+
+// Guards against answers that name hosts which do not take callers.
+TEST_CASE_METHOD(address_fixture, "AddressBook_LeavingOrNotReady_NotNamed") {
+  members[0].state = member_state::leaving;
+  members[3].ready = false;
+  members[1].state = member_state::suspect;
+  for (const auto& one : Choose("acme", "a")) {
+    CHECK(one.address != "c1");
+    CHECK(one.address != "c4");
+    CHECK(one.address != "c2");
+  }
+}
+
+// Guards against an empty answer while suspected hosts may still serve.
+TEST_CASE_METHOD(address_fixture, "AddressBook_OnlySuspects_AreNamed") {
+  for (auto& one : members) one.state = member_state::suspect;
+  CHECK(Choose("acme", "a").size() == 3);
+}
+
+// Guards against a customer that is spread over all hosts, which needs leases.
+TEST_CASE_METHOD(address_fixture, "AddressBook_SameCustomer_SameFewHosts") {
+  std::set<std::string> first;
+  std::set<std::string> named;
+  for (int i = 0; i < 50; ++i) {
+    named.insert(Choose("acme", "")[0].address);
+    first.insert(Choose("customer" + std::to_string(i), "")[0].address);
+  }
+  CHECK(named.size() == 1);
+  CHECK(first.size() == 6);
+}
+
+}  // namespace
+}  // namespace corianderrail
