--- a/packages/core/tests/contract_fleet_test.cpp
+++ b/packages/core/tests/contract_fleet_test.cpp
@@ -213,7 +213,8 @@
   for (const auto& [address, host] : fleet.hosts) {
     if (host->reader.IsReader()) ++readers[host->settings.zone];
   }
-  CHECK(readers == std::map<std::string, int>{{"a", 2}, {"b", 2}, {"c", 2}});
+  CHECK(readers ==
+        std::map<std::string, int>{{"zone0", 2}, {"zone1", 2}, {"zone2", 2}});
 }
 
 }  // namespace
--- a/packages/core/tests/support/fleet_host.h
+++ b/packages/core/tests/support/fleet_host.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -237,13 +238,13 @@
   fleet_host& Start(std::size_t index, bool with_service = true) {
     fleet_host_settings settings;
     settings.address = addresses[index];
-    settings.zone = std::string(1, static_cast<char>('a' + index % 3));
+    settings.zone = "zone" + std::to_string(index % zones);
     settings.incarnation = ++incarnation_;
     settings.seed = seed_ * 1000 + incarnation_;
     settings.seeds = {addresses[0], addresses[1 % addresses.size()]};
     if (with_service) settings.service = &service;
     auto& host = hosts[addresses[index]];
-    host = std::make_unique<fleet_host>(settings, net.Now());
+    host = make(settings, net.Now());
     net.Add(*host);
     return *host;
   }
@@ -280,6 +281,13 @@
     });
   }
 
+  /** Builds a host; a benchmark replaces it. */
+  std::function<std::unique_ptr<fleet_host>(const fleet_host_settings&,
+                                            time_point)>
+      make = [](const fleet_host_settings& settings, time_point now) {
+        return std::make_unique<fleet_host>(settings, now);
+      };
+  std::size_t zones = 3;  ///< Zones over which hosts are spread.
   fake_service service;
   message_net net;
   std::vector<std::string> addresses;
--- a/packages/core/tests/support/message_net.h
+++ b/packages/core/tests/support/message_net.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,6 +13,7 @@
 
 #include "core/effect_type.h"
 #include "core/random.h"
+#include "message_bytes.h"
 
 namespace corianderrail {
 
@@ -44,42 +44,6 @@
                      effect_list& /*effects*/) {}
 };
 
-/** Sum of the sizes of all fields that a message carries. */
-class byte_counter {
- public:
-  template <typename... Fields>
-  void operator()(Fields&... fields) {
-    (Add(fields), ...);
-  }
-  std::size_t Bytes() const { return bytes_; }
-
- private:
-  template <typename Field>
-  void Add(Field& field) {
-    if constexpr (requires { field.VisitFields(*this); }) {
-      field.VisitFields(*this);
-    } else if constexpr (requires { field.begin()->VisitFields(*this); }) {
-      for (auto& one : field) Add(one);
-    } else if constexpr (std::is_same_v<Field, std::string>) {
-      bytes_ += field.size() + 1;
-    } else {
-      bytes_ += sizeof(Field);
-    }
-  }
-  std::size_t bytes_ = 0;
-};
-
-/** Estimated size of a message: its fields, envelope and authentication. */
-inline std::size_t MessageBytes(peer_message& message) {
-  constexpr std::size_t kMacBytes = 32;
-  byte_counter counter;
-  counter(message.from, message.to_incarnation, message.revision,
-          message.contract_digest, message.topology_version,
-          message.contract_format, message.from_address);
-  std::visit([&](auto& body) { counter(body); }, message.body);
-  return counter.Bytes() + kMacBytes;
-}
-
 /** Runs hosts against each other with seeded faults. */
 class message_net {
  public:
