--- a/packages/contract/contract_diff.cpp
+++ b/packages/contract/contract_diff.cpp
@@ -54,7 +54,7 @@
   std::string (*show)(const work_contract&);  ///< Its value as text.
 };
 
-const std::array<work_field, 8> kWorkFields = {{
+constexpr std::array<work_field, 8> kWorkFields = {{
     {contract_field::type,
      [](const work_contract& w) { return TypeText(w.type); }},
     {contract_field::collection,
--- a/packages/contract/tests/mutation_test.cpp
+++ b/packages/contract/tests/mutation_test.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include <array>
 #include <numeric>
 #include <set>
 
@@ -11,7 +12,7 @@
 namespace corianderrail {
 namespace {
 
-const std::vector<std::string> kFragments = {
+constexpr std::array<std::string_view, 27> kFragments = {
     "=",           "[",
     "]",           "{",
     "}",           "\"",
@@ -27,7 +28,7 @@
     "1979-05-27",  "'''",
     "\r"};
 
-const std::vector<std::string> kValues = {
+constexpr std::array<std::string_view, 21> kValues = {
     "0",   "1",    "2",   "7",    "0.001",  "0.2",      "0.95",
     "1.0", "1.01", "600", "-0.0", "nan",    "1000000",  "10000001",
     "inf", "99.5", "400", "true", "5e-324", "600000.1", "\"order\""};
@@ -45,7 +46,7 @@
 void ReplaceBytes(std::string& text) {
   auto at = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
   auto length = *rc::gen::inRange<std::size_t>(0, 12);
-  std::string fragment = *rc::gen::elementOf(kFragments);
+  std::string_view fragment = *rc::gen::elementOf(kFragments);
   text.replace(at, std::min(length, text.size() - at), fragment);
 }
 
@@ -175,7 +176,14 @@
   std::string dots = "a";
   while (dots.size() + 10 < 500) dots += ".a";
   std::string inner = "1";
-  for (int i = 0; i < 3; ++i) inner = "[{" + dots + " = \n" + inner + "}]";
+  for (int i = 0; i < 3; ++i) {
+    std::string outer = "[{";
+    outer += dots;
+    outer += " = \n";
+    outer += inner;
+    outer += "}]";
+    inner = std::move(outer);
+  }
   CHECK_FALSE(
       ValidateHead("[" + dots + "]\n" + dots + " = 1\n").reason.empty());
   CHECK_FALSE(ValidateHead(dots + " = " + inner + "\n").reason.empty());
--- a/packages/ctl/document_files.cpp
+++ b/packages/ctl/document_files.cpp
@@ -37,7 +37,8 @@
   fs::path rest = fs::absolute(path).lexically_normal();
   for (int i = 0; i < kMaxKeyParts && rest.has_filename(); ++i) {
     std::string part = rest.filename().string();
-    key = key.empty() ? part : part + "/" + key;
+    if (!key.empty()) part += "/";
+    key.insert(0, part);
     if (IsKey(key)) return key;
     rest = rest.parent_path();
   }
--- a/packages/ctl/host_commands.cpp
+++ b/packages/ctl/host_commands.cpp
@@ -168,7 +168,8 @@
     std::optional<std::string> id = FindLine(reply.lines, "order_ids[0]");
     if (id) return id;
     refused = Finish(context, host, reply, "order_ids[0]");
-    return std::nullopt;
+    if (refused != exit_code::ok) return std::nullopt;
+    FailUnreachable(host, "the reply has no order identifier");
   } catch (const wire_error& error) {
     FailUnreachable(host, error.what());
   }
--- a/packages/ctl/tests/ctl_fixture.h
+++ b/packages/ctl/tests/ctl_fixture.h
@@ -23,7 +23,7 @@
   }
   ~ctl_fixture() { std::filesystem::remove_all(scratch); }
 
-  exit_code Run(std::vector<std::string> arguments) {
+  exit_code Run(const std::vector<std::string>& arguments) {
     std::vector<const char*> argv = {"corianderctl"};
     for (const std::string& argument : arguments) {
       argv.push_back(argument.c_str());
