Refuse surplus partition maps before building them

A document of 1 MiB with 512 even maps over 18,000 services would have made a host build about nine million partitions before the refusal.

--- a/packages/contract/tests/topology_parser_test.cpp
+++ b/packages/contract/tests/topology_parser_test.cpp
@@ -95,6 +95,19 @@
   CHECK(maps[1].partitions[1].service == service_id{2});
 }
 
+// Guards against a small document that makes a host build millions of
+// partitions.
+TEST_CASE_METHOD(topology_fixture, "Topology_TooManyMaps_IsRefused") {
+  std::string maps;
+  for (std::size_t i = 1; i <= kMaxMapsPerCollection; ++i) {
+    maps += map + std::to_string(i) + "\n";
+  }
+  CHECK(Parse(maps)->collections[0].maps.size() == kMaxMapsPerCollection);
+  topology_verdict verdict = ParseTopology(head + maps + map + "99\n");
+  CHECK(verdict.fault == contract_fault::too_large);
+  CHECK_THAT(verdict.reason, Catch::Contains("remove the oldest"));
+}
+
 // Guards against an overflow at the largest key space.
 TEST_CASE_METHOD(topology_fixture, "Topology_LargestKeySpace_HasNoGaps") {
   head.replace(head.find("1000"), 4, "9223372036854775807");
--- a/packages/contract/topology_parser.cpp
+++ b/packages/contract/topology_parser.cpp
@@ -230,6 +230,16 @@
   std::optional<collection_id> collection = FindCollection(reader);
   partition_map map;
   map.snapshot = snapshot_id{reader.Integer("snapshot", 1, kMaxInteger)};
+  if (collection && built_.collections[Raw(*collection)].maps.size() >=
+                        kMaxMapsPerCollection) {
+    // Refused before the partitions are built: one map of a small document
+    // can have as many partitions as there are services.
+    reader.Fail(contract_fault::too_large, "collection",
+                "the collection has more than " +
+                    std::to_string(kMaxMapsPerCollection) +
+                    " maps; remove the oldest");
+    return;
+  }
   if (collection && key_space_ > 0) {
     if (reader.Has("partition")) {
       ReadPartitions(reader, *collection, map);
@@ -366,12 +376,6 @@
     return;
   }
   maps.insert(position, std::move(map));
-  if (maps.size() > kMaxMapsPerCollection) {
-    reader.Fail(contract_fault::too_large, "collection",
-                "the collection has more than " +
-                    std::to_string(kMaxMapsPerCollection) +
-                    " maps; remove the oldest");
-  }
 }
 
 void topology_builder::CheckCollections(toml_reader& reader) {
