--- a/packages/core/host_reducer.cpp
+++ b/packages/core/host_reducer.cpp
@@ -400,6 +400,8 @@
   return state_->Envelope(effect);
 }
 
+host_phase host_reducer::Phase() const { return state_->life.Phase(); }
+
 host_view host_reducer::View() const {
   host_view view;
   const auto set = state_->contracts.InForce();
--- a/packages/core/host_reducer.h
+++ b/packages/core/host_reducer.h
@@ -81,6 +81,9 @@
 
   host_view View() const;
 
+  /** Phase alone; cheap enough for every batch of events. */
+  host_phase Phase() const;
+
  private:
   struct state;
   std::unique_ptr<state> state_;
--- /dev/null
+++ b/packages/node/event_loop.cpp
@@ -0,0 +1,128 @@
+/** @file event_loop.cpp The thread that runs the reducer. */
+
+#include "node/event_loop.h"
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace corianderrail {
+
+namespace {
+
+/** Waiting events above which peer messages are dropped. */
+constexpr std::size_t kQueueLimit = 100'000;
+
+/** Longest sleep, so that a gap in the clock is noticed. */
+constexpr std::chrono::milliseconds kLongestSleep{500};
+
+}  // namespace
+
+event_loop::event_loop(host_settings settings, effect_handler handle)
+    : reducer_(std::move(settings)), handle_(std::move(handle)) {}
+
+event_loop::~event_loop() { Stop(); }
+
+time_point event_loop::Now() {
+  static const auto start = std::chrono::steady_clock::now();
+  // The epoch lies an hour back, so that no time before the start is negative.
+  return time_point(std::chrono::hours(1)) +
+         std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() -
+                                              start);
+}
+
+void event_loop::Start() {
+  const std::lock_guard lock(mutex_);
+  running_ = true;
+  thread_ = std::thread([this] { Run(); });
+}
+
+void event_loop::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+    changed_.notify_all();
+  }
+  if (thread_.joinable()) thread_.join();
+}
+
+void event_loop::Post(event happening) {
+  const std::lock_guard lock(mutex_);
+  if (queue_.size() >= kQueueLimit &&
+      std::holds_alternative<peer_event>(happening)) {
+    ++dropped_;
+    return;
+  }
+  queue_.push_back(std::move(happening));
+  changed_.notify_one();
+}
+
+host_view event_loop::View() {
+  auto promise = std::make_shared<std::promise<host_view>>();
+  auto answer = promise->get_future();
+  {
+    const std::lock_guard lock(mutex_);
+    if (!running_ || stopping_) return reducer_.View();
+    questions_.push_back([promise](const host_reducer& reducer) {
+      promise->set_value(reducer.View());
+    });
+    changed_.notify_one();
+  }
+  return answer.get();
+}
+
+event_loop_counters event_loop::Counters() const {
+  const std::lock_guard lock(mutex_);
+  return {events_, dropped_, queue_.size()};
+}
+
+void event_loop::CarryOut(effect_list& effects) {
+  for (auto& one : effects) handle_(one, reducer_);
+  effects.clear();
+}
+
+void event_loop::ReduceBatch(std::vector<event>& batch) {
+  effect_list effects;
+  for (const auto& happening : batch) {
+    reducer_.Reduce(happening, Now(), effects);
+    CarryOut(effects);
+  }
+  events_ += batch.size();
+  batch.clear();
+  if (reducer_.NextWake() > Now()) return;
+  reducer_.Reduce(tick_event{}, Now(), effects);
+  CarryOut(effects);
+}
+
+void event_loop::Run() {
+  effect_list effects;
+  reducer_.Start(Now(), effects);
+  CarryOut(effects);
+  std::vector<event> batch;
+  std::vector<std::function<void(const host_reducer&)>> questions;
+  for (;;) {
+    const auto wake = reducer_.NextWake();
+    {
+      std::unique_lock lock(mutex_);
+      const auto now = Now();
+      const auto sleep = std::clamp<duration>(
+          wake == kNever ? duration(kLongestSleep) : wake - now,
+          duration::zero(), kLongestSleep);
+      changed_.wait_for(lock, sleep, [this] {
+        return stopping_ || !queue_.empty() || !questions_.empty();
+      });
+      batch.swap(queue_);
+      questions.swap(questions_);
+      if (stopping_) break;
+    }
+    ReduceBatch(batch);
+    for (const auto& question : questions) question(reducer_);
+    questions.clear();
+    phase_ = reducer_.Phase();
+  }
+  for (const auto& question : questions) question(reducer_);
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/node/leaf_client.cpp
@@ -0,0 +1,289 @@
+/** @file leaf_client.cpp Connections to leafs. */
+
+#include "node/leaf_client.h"
+
+#include "node/leaf_connection.h"
+
+#include <cxxtools/event.h>
+#include <cxxtools/eventloop.h>
+#include <cxxtools/timer.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "node/event_loop.h"
+#include "wire/leaf_codec.h"
+
+namespace corianderrail {
+
+namespace {
+
+/** How often deadlines and closed connections are looked at. */
+constexpr std::uint64_t kSweepMs = 10;
+
+constexpr duration kOpenTimeout = std::chrono::seconds(2);
+constexpr duration kRetryMin = std::chrono::milliseconds(100);
+constexpr duration kRetryMax = std::chrono::seconds(2);
+
+/** Added to a request's time, so that a leaf's own "too late" arrives. */
+constexpr duration kReplyMargin = std::chrono::milliseconds(100);
+
+/** Cancellations that wait for a free connection; further ones are dropped,
+ *  which costs the leaf work but no correctness. */
+constexpr std::size_t kCancelLimit = 64;
+
+using command =
+    std::variant<set_connections_effect, send_leaf_effect, cancel_leaf_effect>;
+
+/** Carries a command to the thread of the client. */
+class command_event : public cxxtools::BasicEvent<command_event> {
+ public:
+  explicit command_event(command given) : content(std::move(given)) {}
+  command content;  ///< What to do.
+};
+
+/** Connections to one leaf. */
+struct leaf_pool {
+  leaf_id leaf{};            ///< The leaf.
+  ip_address address;        ///< Its address.
+  std::uint32_t target = 0;  ///< Connections wanted.
+  std::uint32_t told = 0;    ///< Open connections last reported.
+  std::vector<std::unique_ptr<leaf_connection>> connections;  ///< For requests.
+  std::unique_ptr<leaf_connection> control;  ///< For cancellations.
+  std::deque<std::string> cancels;           ///< Request ids to cancel.
+};
+
+}  // namespace
+
+struct leaf_client::state : cxxtools::Connectable {
+  state(incarnation_id given_owner, sink given_sink);
+
+  void Run();
+  void OnEvent(const cxxtools::Event& event);
+  void OnSweep();
+  void Do(set_connections_effect& effect);
+  void Do(send_leaf_effect& effect);
+  void Do(cancel_leaf_effect& effect);
+  void OnFinished(leaf_pool& pool, leaf_connection& connection,
+                  leaf_connection::outcome result);
+  void Maintain(leaf_pool& pool, time_point now);
+  void Resize(leaf_pool& pool);
+  void SendCancels(leaf_pool& pool, time_point now);
+  void Report(leaf_pool& pool);
+  std::unique_ptr<leaf_connection> MakeConnection(leaf_pool& pool);
+
+  incarnation_id owner;
+  sink deliver;
+  cxxtools::EventLoop loop;
+  cxxtools::Timer sweep;
+  std::map<leaf_id, std::unique_ptr<leaf_pool>> pools;
+  std::atomic<std::uint64_t> open{0};
+  std::atomic<std::uint64_t> malformed{0};
+  std::atomic<std::uint64_t> timeouts{0};
+  std::thread thread;
+};
+
+leaf_client::state::state(incarnation_id given_owner, sink given_sink)
+    : owner(given_owner), deliver(std::move(given_sink)), sweep(&loop) {
+  cxxtools::connect(loop.event, *this, &state::OnEvent);
+  cxxtools::connect(sweep.timeout, *this, &state::OnSweep);
+}
+
+void leaf_client::state::Run() {
+  sweep.start(cxxtools::Milliseconds(static_cast<double>(kSweepMs)));
+  loop.run();
+  pools.clear();
+}
+
+void leaf_client::state::OnEvent(const cxxtools::Event& event) {
+  const auto* carried = dynamic_cast<const command_event*>(&event);
+  if (carried == nullptr) return;
+  auto content = carried->content;
+  std::visit([this](auto& effect) { Do(effect); }, content);
+}
+
+std::unique_ptr<leaf_connection> leaf_client::state::MakeConnection(
+    leaf_pool& pool) {
+  return std::make_unique<leaf_connection>(
+      loop, pool.address,
+      [this, &pool](leaf_connection& connection,
+                    leaf_connection::outcome result) {
+        OnFinished(pool, connection, std::move(result));
+      });
+}
+
+void leaf_client::state::Do(set_connections_effect& effect) {
+  auto& pool = pools[effect.leaf];
+  if (!pool) {
+    pool = std::make_unique<leaf_pool>();
+    pool->leaf = effect.leaf;
+    try {
+      pool->address = ReadIpAddress(effect.address);
+    } catch (const wire_error&) {
+      pools.erase(effect.leaf);
+      return;
+    }
+  }
+  pool->target = effect.target;
+  Maintain(*pool, event_loop::Now());
+}
+
+void leaf_client::state::Do(send_leaf_effect& effect) {
+  const auto now = event_loop::Now();
+  const auto found = pools.find(effect.leaf);
+  if (found != pools.end()) {
+    for (auto& connection : found->second->connections) {
+      if (connection->Phase() != leaf_connection::phase::idle) continue;
+      const duration remaining =
+          std::max(effect.request.remaining, duration::zero());
+      leaf_exchange exchange{effect.call, std::move(effect.request),
+                             LeafRequestId(owner, effect.call)};
+      connection->Send(std::move(exchange), now + remaining + kReplyMargin);
+      return;
+    }
+  }
+  deliver(leaf_failure_event{effect.call, leaf_failure::not_sent});
+}
+
+void leaf_client::state::Do(cancel_leaf_effect& effect) {
+  const auto found = pools.find(effect.leaf);
+  if (found == pools.end()) return;
+  auto& pool = *found->second;
+  if (pool.cancels.size() >= kCancelLimit) pool.cancels.pop_front();
+  pool.cancels.push_back(LeafRequestId(owner, effect.call));
+  SendCancels(pool, event_loop::Now());
+}
+
+void leaf_client::state::SendCancels(leaf_pool& pool, time_point now) {
+  if (pool.cancels.empty()) return;
+  if (!pool.control) pool.control = MakeConnection(pool);
+  auto& control = *pool.control;
+  if (control.Phase() == leaf_connection::phase::closed) {
+    if (now >= control.retry_at) control.Open(now + kOpenTimeout);
+    return;
+  }
+  if (control.Phase() != leaf_connection::phase::idle) return;
+  const std::string id = std::move(pool.cancels.front());
+  pool.cancels.pop_front();
+  control.SendCancel(id, now + kOpenTimeout);
+}
+
+void leaf_client::state::OnFinished(leaf_pool& pool,
+                                    leaf_connection& connection,
+                                    leaf_connection::outcome result) {
+  const auto now = event_loop::Now();
+  if (connection.Phase() == leaf_connection::phase::closed) {
+    // A connection that worked is reopened at once.
+    connection.retry_pause =
+        result.reply ? duration::zero()
+                     : std::clamp(2 * connection.retry_pause, kRetryMin,
+                                  kRetryMax);
+    connection.retry_at = now + connection.retry_pause;
+  } else {
+    connection.retry_pause = duration::zero();
+  }
+  if (result.exchange) {
+    const auto call = result.exchange->call;
+    if (result.reply) {
+      deliver(leaf_reply_event{call, std::move(*result.reply)});
+    } else {
+      if (result.failure == leaf_failure::malformed) ++malformed;
+      if (result.failure == leaf_failure::timeout) ++timeouts;
+      deliver(leaf_failure_event{call, result.failure});
+    }
+  }
+  Report(pool);
+}
+
+void leaf_client::state::Report(leaf_pool& pool) {
+  const auto usable = static_cast<std::uint32_t>(std::count_if(
+      pool.connections.begin(), pool.connections.end(), [](const auto& one) {
+        return one->Phase() == leaf_connection::phase::idle ||
+               one->Phase() == leaf_connection::phase::busy;
+      }));
+  if (usable == pool.told) return;
+  open += usable;
+  open -= pool.told;
+  pool.told = usable;
+  deliver(leaf_connections_event{pool.leaf, usable});
+}
+
+/** Adds and removes connections; one with a request in flight stays. */
+void leaf_client::state::Resize(leaf_pool& pool) {
+  auto& all = pool.connections;
+  while (all.size() < pool.target) all.push_back(MakeConnection(pool));
+  while (all.size() > pool.target) {
+    const auto unused =
+        std::find_if(all.rbegin(), all.rend(), [](const auto& one) {
+          return one->Phase() != leaf_connection::phase::busy;
+        });
+    if (unused == all.rend()) return;
+    all.erase(std::next(unused).base());
+  }
+}
+
+void leaf_client::state::Maintain(leaf_pool& pool, time_point now) {
+  Resize(pool);
+  for (auto& connection : pool.connections) {
+    if (connection->Deadline() <= now) {
+      connection->Abort(connection->Phase() == leaf_connection::phase::opening
+                            ? leaf_failure::not_sent
+                            : leaf_failure::timeout);
+    }
+    if (connection->Phase() == leaf_connection::phase::closed &&
+        now >= connection->retry_at) {
+      connection->Open(now + kOpenTimeout);
+    }
+  }
+  if (pool.control && pool.control->Deadline() <= now) {
+    pool.control->Abort(leaf_failure::timeout);
+  }
+  SendCancels(pool, now);
+  Report(pool);
+}
+
+void leaf_client::state::OnSweep() {
+  const auto now = event_loop::Now();
+  for (auto it = pools.begin(); it != pools.end();) {
+    Maintain(*it->second, now);
+    const bool unused = it->second->target == 0 &&
+                        it->second->connections.empty() &&
+                        it->second->cancels.empty();
+    it = unused ? pools.erase(it) : std::next(it);
+  }
+}
+
+leaf_client::leaf_client(incarnation_id owner, sink deliver)
+    : state_(std::make_unique<state>(owner, std::move(deliver))) {
+  state_->thread = std::thread([this] { state_->Run(); });
+}
+
+leaf_client::~leaf_client() {
+  state_->loop.exit();
+  state_->thread.join();
+}
+
+void leaf_client::SetConnections(set_connections_effect effect) {
+  state_->loop.commitEvent(command_event(std::move(effect)));
+}
+
+void leaf_client::Send(send_leaf_effect effect) {
+  state_->loop.commitEvent(command_event(std::move(effect)));
+}
+
+void leaf_client::Cancel(cancel_leaf_effect effect) {
+  state_->loop.commitEvent(command_event(effect));
+}
+
+leaf_client_counters leaf_client::Counters() const {
+  return {state_->open, state_->malformed, state_->timeouts};
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/node/leaf_connection.h
@@ -0,0 +1,83 @@
+/** @file leaf_connection.h One connection to a leaf. */
+
+#pragma once
+
+#include "wire/cxxtools_compat.h"
+
+#include <cxxtools/connectable.h>
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/selector.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "core/leaf_type.h"
+#include "core/time_type.h"
+#include "wire/http_client.h"
+
+namespace corianderrail {
+
+/** A request in flight on a connection. */
+struct leaf_exchange {
+  leaf_call_id call{};     ///< Matches the reply.
+  leaf_request request;    ///< What was asked.
+  std::string request_id;  ///< Echoed by the leaf.
+};
+
+/**
+ * One HTTP connection, used for one request at a time. It is built and used
+ * on the thread of its event loop only.
+ */
+class leaf_connection : public cxxtools::Connectable {
+ public:
+  /** What became of the request in flight. */
+  struct outcome {
+    std::optional<leaf_exchange> exchange;  ///< Nothing for a cancellation.
+    std::optional<leaf_reply> reply;        ///< Set when it is whole.
+    leaf_failure failure{};                 ///< Why there is no reply.
+  };
+  using handler = std::function<void(leaf_connection&, outcome)>;
+
+  enum class phase : std::uint8_t { closed, opening, idle, busy };
+
+  leaf_connection(cxxtools::SelectorBase& selector, const ip_address& address,
+                  handler finished);
+
+  /** Connects by cancelling a request that does not exist. */
+  void Open(time_point deadline);
+
+  /** Sends a request; the connection must be idle. */
+  void Send(leaf_exchange exchange, time_point deadline);
+
+  /** Sends a cancellation; the connection must be idle. */
+  void SendCancel(const std::string& request_id, time_point deadline);
+
+  /** Closes and reports the request in flight, if any, as failed. */
+  void Abort(leaf_failure failure);
+
+  phase Phase() const { return phase_; }
+  time_point Deadline() const { return deadline_; }
+
+  time_point retry_at{};       ///< When a closed connection is opened again.
+  duration retry_pause{};      ///< Last pause before opening again.
+
+ private:
+  void Begin(time_point deadline, phase next);
+  std::size_t OnBody(cxxtools::http::Client& client);
+  void OnFinished(cxxtools::http::Client& client);
+  outcome TakeOutcome();
+  void Finish(outcome result, phase next);
+
+  cxxtools::http::Client client_;
+  cxxtools::http::Request request_;
+  handler finished_;
+  phase phase_ = phase::closed;
+  std::optional<leaf_exchange> exchange_;
+  std::string body_;
+  bool body_too_large_ = false;
+  time_point deadline_ = kNever;
+};
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/node/node.cpp
@@ -0,0 +1,198 @@
+/** @file node.cpp One host process: the reducer with its sockets. */
+
+#include "node/node.h"
+
+#include <atomic>
+#include <chrono>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "contract/contract_validate.h"
+#include "contract/topology_parser.h"
+#include "core/host_address.h"
+#include "node/audit_log.h"
+#include "node/call_table.h"
+#include "node/caller_server.h"
+#include "node/event_loop.h"
+#include "node/leaf_client.h"
+#include "node/logging.h"
+#include "node/metrics.h"
+#include "node/platform_client.h"
+#include "wire/peer_codec.h"
+#include "wire/peer_transport.h"
+
+namespace corianderrail {
+
+namespace {
+
+constexpr int kIncarnationRandomBits = 20;
+
+host_settings MakeHostSettings(const node_settings& from) {
+  host_settings host = from.host;
+  host.self.ref = {HostIdOf(from.peer_address), MakeIncarnation()};
+  host.self.peer_address = from.peer_address;
+  host.self.caller_address = from.caller_address;
+  host.self.zone = from.zone;
+  host.self.region = from.region;
+  host.self.capacity = from.capacity;
+  host.seed = (std::uint64_t{std::random_device{}()} << 32) ^
+              std::random_device{}();
+  host.started = event_loop::Now();
+  host.contracts = ValidateContracts;
+  host.topologies = ParseTopology;
+  return host;
+}
+
+}  // namespace
+
+incarnation_id MakeIncarnation() {
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+  const std::uint64_t random =
+      std::random_device{}() & ((1u << kIncarnationRandomBits) - 1);
+  return incarnation_id{
+      (static_cast<std::uint64_t>(millis) << kIncarnationRandomBits) | random};
+}
+
+struct node::state {
+  explicit state(node_settings given);
+
+  caller_backend Backend();
+  void OnPeerBytes(std::string_view bytes);
+  std::string MetricsText();
+
+  void Do(answer_query_effect& effect, const host_reducer&) {
+    calls.Finish(effect.call, std::move(effect));
+  }
+  void Do(refuse_effect& effect, const host_reducer&) {
+    calls.Finish(effect.call, std::move(effect));
+  }
+  void Do(answer_order_effect& effect, const host_reducer&) {
+    calls.Finish(effect.call, std::move(effect));
+  }
+  void Do(answer_order_ids_effect& effect, const host_reducer&) {
+    calls.Finish(effect.call, std::move(effect));
+  }
+  void Do(answer_addresses_effect& effect, const host_reducer&) {
+    calls.Finish(effect.call, std::move(effect));
+  }
+  void Do(send_peer_effect& effect, const host_reducer& reducer);
+  void Do(send_leaf_effect& effect, const host_reducer&) {
+    leafs.Send(std::move(effect));
+  }
+  void Do(cancel_leaf_effect& effect, const host_reducer&) {
+    leafs.Cancel(effect);
+  }
+  void Do(set_connections_effect& effect, const host_reducer&) {
+    leafs.SetConnections(std::move(effect));
+  }
+  void Do(read_config_effect& effect, const host_reducer&) {
+    platform.Read(effect);
+  }
+  void Do(read_host_list_effect&, const host_reducer&) {
+    platform.ReadHostList();
+  }
+  void Do(audit_effect& effect, const host_reducer&) {
+    audit.Append(effect.entry);
+  }
+  void Do(log_effect& effect, const host_reducer&) { LogInfo(effect.text); }
+  void Do(stopped_effect&, const host_reducer&) { stopped = true; }
+
+  node_settings settings;
+  host_settings host;
+  call_table calls;
+  audit_log audit;
+  metrics numbers;
+  std::atomic<bool> stopped{false};
+  std::atomic<std::uint64_t> refused_messages{0};
+  event_loop loop;
+  peer_transport peers;
+  leaf_client leafs;
+  platform_client platform;
+  caller_server server;
+  std::chrono::steady_clock::time_point idle_checked{};
+};
+
+node::state::state(node_settings given)
+    : settings(std::move(given)),
+      host(MakeHostSettings(settings)),
+      calls(settings.caller_threads),
+      loop(host,
+           [this](effect& one, const host_reducer& reducer) {
+             std::visit([&](auto& content) { Do(content, reducer); }, one);
+           }),
+      peers({settings.peer_address},
+            [this](std::string_view bytes) { OnPeerBytes(bytes); }),
+      leafs(host.self.ref.incarnation,
+            [this](event happening) { loop.Post(std::move(happening)); }),
+      platform(settings.platform_address,
+               [this](event happening) { loop.Post(std::move(happening)); }),
+      server(settings.caller_address, settings.caller_threads, Backend()) {}
+
+void node::state::OnPeerBytes(std::string_view bytes) {
+  try {
+    loop.Post(peer_event{DecodePeerMessage(bytes, settings.shared_key)});
+  } catch (const wire_error& error) {
+    // One line for the first refused message; the counter tells the rest.
+    if (refused_messages.fetch_add(1) == 0) LogWarning(error.what());
+  }
+}
+
+void node::state::Do(send_peer_effect& effect, const host_reducer& reducer) {
+  try {
+    peers.Send(effect.address, EncodePeerMessage(reducer.Envelope(effect),
+                                                 settings.shared_key));
+  } catch (const wire_error& error) {
+    LogError(error.what());
+  }
+  const auto now = std::chrono::steady_clock::now();
+  if (now - idle_checked < std::chrono::seconds(10)) return;
+  idle_checked = now;
+  peers.CloseIdle(now);
+}
+
+std::string node::state::MetricsText() {
+  metrics_sources from;
+  from.view = loop.View();
+  from.loop = loop.Counters();
+  from.peers = peers.Counters();
+  from.peers_refused = refused_messages;
+  from.leafs = leafs.Counters();
+  from.platform_calls = platform.Calls();
+  from.calls_waiting = calls.Waiting();
+  from.calls_turned_away = server.TurnedAway();
+  return numbers.Text(from);
+}
+
+caller_backend node::state::Backend() {
+  caller_backend backend;
+  backend.post = [this](event happening) { loop.Post(std::move(happening)); };
+  backend.phase = [this] { return loop.Phase(); };
+  backend.status_json = [this] { return StatusJson(loop.View()); };
+  backend.audit_json = [this] { return audit.Json(); };
+  backend.metrics_text = [this] { return MetricsText(); };
+  backend.answered = [this](duration elapsed) { numbers.OnAnswer(elapsed); };
+  backend.calls = &calls;
+  return backend;
+}
+
+node::node(node_settings settings)
+    : state_(std::make_unique<state>(std::move(settings))) {
+  LogInfo("serving hosts on " + state_->settings.peer_address +
+          " and callers on " + state_->settings.caller_address);
+  state_->loop.Start();
+  state_->server.Start();
+}
+
+node::~node() { state_->loop.Stop(); }
+
+void node::RequestStop() { state_->loop.Post(stop_event{}); }
+
+bool node::Stopped() const {
+  return state_->stopped && state_->calls.Waiting() == 0;
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/packages/node/platform_client.cpp
@@ -0,0 +1,214 @@
+/** @file platform_client.cpp Reads from the configuration service. */
+
+#include "node/platform_client.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <limits>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "wire/http_client.h"
+#include "wire/json_value.h"
+
+namespace corianderrail {
+
+namespace {
+
+/** Two watches and the documents of a changed set, side by side. */
+constexpr int kThreads = 5;
+
+/** Jobs that wait for a thread; the reducer asks again for what is lost. */
+constexpr std::size_t kJobLimit = 4096;
+
+/** Documents of one revision never change, so they are not kept. */
+constexpr std::string_view kUnwatchedPrefix = "contracts/";
+constexpr std::string_view kHeadKey = "contracts/head";
+
+constexpr std::size_t kValueLimit = 4u << 20;
+constexpr std::size_t kHostListLimit = 4u << 20;
+constexpr std::size_t kHostLimit = 50'000;
+constexpr std::chrono::milliseconds kTimeout{2000};
+
+}  // namespace
+
+struct platform_client::state {
+  using job = std::function<void(http_connection&)>;
+
+  state(std::string given_address, sink given_sink)
+      : address(std::move(given_address)), deliver(std::move(given_sink)) {}
+
+  void Run();
+  void Put(job work);
+  void Deliver(event result);
+  void Remember(const config_value_event& value);
+  void Recall(std::uint64_t version, config_value_event& value);
+  config_value_event Get(http_connection& connection,
+                         const read_config_effect& request);
+  http_reply GetOnce(http_connection& connection, const std::string& key,
+                     std::uint64_t after, std::chrono::milliseconds wait);
+  void DeliverHostList(http_connection& connection);
+
+  std::string address;
+  sink deliver;
+  std::atomic<std::uint64_t> calls{0};
+  bool stopping = false;
+  std::mutex mutex;  ///< Guards `stopping`, `jobs` and `watched`.
+  std::condition_variable changed;
+  std::deque<job> jobs;
+  std::map<std::string, config_value_event> watched;  ///< For HTTP 304.
+};
+
+void platform_client::state::Deliver(event result) {
+  // Under the lock, so that nothing is delivered after the destructor.
+  const std::lock_guard lock(mutex);
+  if (!stopping) deliver(std::move(result));
+}
+
+/** Keeps the values of the keys that are watched, and no others. */
+void platform_client::state::Remember(const config_value_event& value) {
+  if (value.key.starts_with(kUnwatchedPrefix) && value.key != kHeadKey) return;
+  const std::lock_guard lock(mutex);
+  watched[value.key] = value;
+}
+
+/** Fills in a value that the service reported as unchanged. */
+void platform_client::state::Recall(std::uint64_t version,
+                                    config_value_event& value) {
+  const std::lock_guard lock(mutex);
+  const auto found = watched.find(value.key);
+  value.reachable = found != watched.end() && found->second.version == version;
+  if (value.reachable) value = found->second;
+}
+
+void platform_client::state::Put(job work) {
+  const std::lock_guard lock(mutex);
+  if (jobs.size() >= kJobLimit) return;
+  jobs.push_back(std::move(work));
+  changed.notify_one();
+}
+
+void platform_client::state::Run() {
+  http_connection connection(address);
+  for (;;) {
+    job next;
+    {
+      std::unique_lock lock(mutex);
+      changed.wait(lock, [this] { return stopping || !jobs.empty(); });
+      if (stopping) return;
+      next = std::move(jobs.front());
+      jobs.pop_front();
+    }
+    next(connection);
+  }
+}
+
+http_reply platform_client::state::GetOnce(http_connection& connection,
+                                           const std::string& key,
+                                           std::uint64_t after,
+                                           std::chrono::milliseconds wait) {
+  calls.fetch_add(1, std::memory_order_relaxed);
+  http_request request;
+  request.path = "/v1/config/" + key;
+  request.body_limit = kValueLimit;
+  request.timeout = kTimeout + wait;
+  if (after != 0) {
+    request.parameters = "after=" + std::to_string(after) +
+                         "&wait_ms=" + std::to_string(wait.count());
+  }
+  return connection.Execute(request);
+}
+
+config_value_event platform_client::state::Get(
+    http_connection& connection, const read_config_effect& request) {
+  config_value_event result;
+  result.key = request.key;
+  const auto wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(request.wait);
+  try {
+    const auto reply = GetOnce(connection, request.key, request.after, wait);
+    if (reply.code == 304) {
+      Recall(request.after, result);
+      return result;
+    }
+    result.reachable = reply.code == 200 || reply.code == 404;
+    result.found = reply.code == 200;
+    if (!result.found) return result;
+    result.version =
+        ReadNumber("X-Version", reply.Header("X-Version").value_or(""),
+                   std::numeric_limits<std::uint64_t>::max());
+    result.bytes = reply.body;
+    Remember(result);
+  } catch (const wire_error&) {
+    result.reachable = false;
+    result.found = false;
+  }
+  return result;
+}
+
+void platform_client::state::DeliverHostList(http_connection& connection) {
+  calls.fetch_add(1, std::memory_order_relaxed);
+  host_list_event result;
+  try {
+    http_request request;
+    request.path = "/v1/hosts";
+    request.timeout = kTimeout;
+    request.body_limit = kHostListLimit;
+    const auto reply = connection.Execute(request);
+    if (reply.code == 200) result = ReadHostListReply(reply.body);
+  } catch (const wire_error&) {
+    result = {};
+  }
+  Deliver(result);
+}
+
+platform_client::platform_client(std::string address, sink deliver)
+    : state_(
+          std::make_shared<state>(std::move(address), std::move(deliver))) {
+  for (int i = 0; i < kThreads; ++i) {
+    // Detached, because a watch may wait for longer than a stop may take.
+    std::thread([shared = state_] { shared->Run(); }).detach();
+  }
+}
+
+platform_client::~platform_client() {
+  {
+    const std::lock_guard lock(state_->mutex);
+    state_->stopping = true;
+  }
+  state_->changed.notify_all();
+}
+
+void platform_client::Read(const read_config_effect& request) {
+  auto* self = state_.get();
+  state_->Put([self, request](http_connection& connection) {
+    self->Deliver(self->Get(connection, request));
+  });
+}
+
+void platform_client::ReadHostList() {
+  auto* self = state_.get();
+  state_->Put([self](http_connection& connection) {
+    self->DeliverHostList(connection);
+  });
+}
+
+std::uint64_t platform_client::Calls() const { return state_->calls; }
+
+host_list_event ReadHostListReply(std::string_view body) {
+  const auto from = json_object::Parse(body, {"hosts"}, kHostListLimit);
+  host_list_event list;
+  list.reachable = true;
+  for (const auto& host :
+       from.Objects("hosts", {"address", "leaving"}, kHostLimit)) {
+    list.entries.push_back(
+        {host.Text("address", 64), host.OptionalBool("leaving", false)});
+  }
+  return list;
+}
+
+}  // namespace corianderrail
