--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -42,6 +42,7 @@
   host.started = event_loop::Now();
   host.contracts = ValidateContracts;
   host.topologies = ParseTopology;
+  host.heads = ValidateHead;
   return host;
 }
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -159,16 +159,11 @@
 
     def order_twice(self, entries, revision):
         name = self.config["name"]
-        _, ids, _ = self.until_accepted(entries[0], "/v1/order-ids", {
-            "request_id": "demo-ids", "customer": name, "count": 1})
-        order_id = ids["order_ids"][0]
-        order = {"order_id": order_id, "request_id": "demo-order", "customer": name,
+        order = {"request_id": "demo-order", "customer": name,
                  "kind": self.config["order"], "key": 4711, "deadline_ms": 900,
                  "seen_revision": revision, "payload": "one seat"}
-        for address in (entries[0], entries[-1]):
-            _, reply, elapsed_ms = self.until_accepted(address, "/v1/orders", order)
-            print(f"  order {order_id} at {address}: {reply['state']} "
-                  f"{reply.get('payload', reply.get('detail'))!r}, {elapsed_ms:.1f} ms")
+        order_id = self.first_order(entries[0], order)
+        self.send_order(entries[-1], order)
         _, reply = call(entries[0], f"/v1/orders/{order_id}")
         ran = read_text(f"127.0.0.1:{self.config['control']}", "/standin/orders")
         times = ran.split().count(order_id)
@@ -176,6 +171,27 @@
         if times != 1 or reply["state"] != "ran":
             raise SystemExit(f"{name}: the order ran {times} times: {reply}")
 
+    def send_order(self, address, order):
+        started = time.monotonic()
+        _, reply = call(address, "/v1/orders", order)
+        elapsed_ms = (time.monotonic() - started) * 1000
+        print(f"  order {order['order_id']} at {address}: {reply['state']} "
+              f"{reply.get('payload', reply.get('detail'))!r}, {elapsed_ms:.1f} ms")
+        return reply
+
+    def first_order(self, address, order):
+        """Sends an order; one that was refused needs a new identifier."""
+        end = time.monotonic() + READY_SECONDS
+        while True:
+            _, ids, _ = self.until_accepted(address, "/v1/order-ids", {
+                "request_id": "demo-ids", "customer": self.config["name"],
+                "count": 1})
+            order["order_id"] = ids["order_ids"][0]
+            reply = self.send_order(address, order)
+            if reply["state"] != "not_run" or time.monotonic() > end:
+                return order["order_id"]
+            time.sleep(max(0.05, reply["retry_after_ms"] / 1000))
+
     def stop_hosts(self):
         for host in self.hosts:
             host.send_signal(signal.SIGTERM)
--- /dev/null
+++ b/tests/process/test_fleet.cpp
@@ -0,0 +1,209 @@
+/** @file test_fleet.cpp A small fleet with stand-ins on ephemeral ports. */
+
+#include "process/test_fleet.h"
+
+#include <chrono>
+#include <thread>
+
+#include "contract/digest.h"
+#include "wire/wire_error.h"
+
+namespace corianderrail {
+
+namespace {
+
+constexpr std::chrono::seconds kLongestWait{60};
+
+const std::string kContract = R"(format = 1
+customer = "acme"
+
+[answer]
+preference = "coverage"
+
+[floor]
+urgent = 0.5
+normal = 0.3
+background = 0.1
+
+[[work]]
+kind = "search"
+type = "query"
+collection = "index"
+rank = "urgent"
+rate_per_s = 1000
+burst = 500
+latency_target_ms = 500
+deadline_max_ms = 20000
+min_coverage = 0.5
+
+[[work]]
+kind = "reserve"
+type = "order"
+collection = "index"
+rank = "urgent"
+rate_per_s = 1000
+burst = 500
+latency_target_ms = 500
+deadline_max_ms = 20000
+)";
+
+std::string Address(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string Quoted(const std::string& text) { return '"' + text + '"'; }
+
+/** A block of consecutive free ports for the leafs. */
+std::uint16_t FreeBlock(int count) {
+  for (;;) {
+    const std::uint16_t first = FreePort();
+    if (first < 60'000 && first + count < 65'000) return first;
+  }
+}
+
+}  // namespace
+
+bool Eventually(const std::function<bool()>& condition) {
+  const auto end = std::chrono::steady_clock::now() + kLongestWait;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  }
+  return false;
+}
+
+test_fleet::test_fleet(int hosts)
+    : first_leaf_(FreeBlock(kLeafs)),
+      control_port_(FreePort()),
+      platform_port_(FreePort()) {
+  for (int i = 0; i < hosts; ++i) {
+    peer_ports_.push_back(FreePort());
+    caller_ports_.push_back(FreePort());
+  }
+  WriteDocuments();
+  leafs_ = std::make_unique<child_process>(
+      "standin_leaf",
+      std::vector<std::string>{
+          "--first-port=" + std::to_string(first_leaf_),
+          "--count=" + std::to_string(kLeafs),
+          "--control-port=" + std::to_string(control_port_)},
+      directory_.Path("leafs.log"));
+  platform_ = std::make_unique<child_process>(
+      "standin_platform",
+      std::vector<std::string>{"--port=" + std::to_string(platform_port_),
+                               "--directory=" + directory_.Path("documents")},
+      directory_.Path("platform.log"));
+  for (int i = 0; i < hosts; ++i) StartHost(i);
+}
+
+void test_fleet::WriteDocuments() {
+  std::string seats;
+  std::string hosts;
+  for (const auto port : peer_ports_) {
+    if (!hosts.empty()) hosts += ",";
+    seats += Quoted(Address(port)) + ", ";
+    hosts += "{\"address\":" + Quoted(Address(port)) + "}";
+  }
+  directory_.Write("documents/hosts.json", "{\"hosts\":[" + hosts + "]}");
+  directory_.Write("documents/contracts/head", "format = 1\nrevision = 1\n");
+  directory_.Write("documents/contracts/acme/1", kContract);
+  directory_.Write("documents/contracts/set/1",
+                   "format = 1\nrevision = 1\nseats = [" + seats +
+                       "]\n[[customer]]\nname = \"acme\"\nrevision = 1\n"
+                       "digest = " +
+                       Quoted(DigestText(DigestBytes(kContract))) + "\n");
+  std::string topology =
+      "format = 1\nversion = 1\nkey_space = 1000\n[[collection]]\n"
+      "name = \"index\"\nslots = 2\nconnections = 20\n";
+  for (int service = 0; service < 2; ++service) {
+    topology += "[[service]]\nname = \"s" + std::to_string(service) +
+                "\"\ncollection = \"index\"\nleafs = [" +
+                Quoted(Address(LeafPort(2 * service)) + " zone-a") + ", " +
+                Quoted(Address(LeafPort(2 * service + 1)) + " zone-b") + "]\n";
+  }
+  topology += "[[map]]\ncollection = \"index\"\nsnapshot = 1\n";
+  directory_.Write("documents/topology", topology);
+}
+
+void test_fleet::StartHost(int number) {
+  const std::string name = "host" + std::to_string(number);
+  const auto path = directory_.Write(
+      name + ".toml",
+      "peer_address = " + Quoted(Address(peer_ports_[number])) +
+          "\ncaller_address = " + Quoted(Address(caller_ports_[number])) +
+          "\nzone = \"zone-a\"\nregion = \"r\"\n"
+          "shared_key = \"key of the process tests\"\nplatform_address = " +
+          Quoted(Address(platform_port_)) + "\nseeds = [" +
+          Quoted(Address(peer_ports_[0])) +
+          "]\n[timing]\nlease_ms = 500\ntime_to_live_ms = 500\n"
+          "drain_ms = 2000\n");
+  hosts_.push_back(std::make_unique<child_process>(
+      "corianderrail", std::vector<std::string>{"--settings=" + path},
+      directory_.Path(name + ".log")));
+}
+
+bool test_fleet::WaitUntilReady() {
+  const auto ready = [this](int host) {
+    try {
+      const auto body = Get(host, "/v1/status").body;
+      std::size_t count = 0;
+      std::size_t at = 0;
+      while ((at = body.find("\"ready\":true", at)) != std::string::npos) {
+        ++count;
+        ++at;
+      }
+      return count == hosts_.size() && Get(host, "/readyz").code == 200;
+    } catch (const wire_error&) {
+      return false;
+    }
+  };
+  return Eventually([&] {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if (!ready(static_cast<int>(i))) return false;
+    }
+    return true;
+  });
+}
+
+http_reply test_fleet::Get(int host, const std::string& path) const {
+  http_connection connection(Address(caller_ports_[host]));
+  http_request request;
+  const auto mark = path.find('?');
+  request.path = path.substr(0, mark);
+  if (mark != std::string::npos) request.parameters = path.substr(mark + 1);
+  request.timeout = kLongestWait;
+  return connection.Execute(request);
+}
+
+http_reply test_fleet::Post(int host, const std::string& path,
+                            const std::string& body) const {
+  http_connection connection(Address(caller_ports_[host]));
+  http_request request;
+  request.method = "POST";
+  request.path = path;
+  request.body = body;
+  request.timeout = kLongestWait;
+  return connection.Execute(request);
+}
+
+http_reply test_fleet::PostUntilTaken(int host, const std::string& path,
+                                      const std::string& body) const {
+  http_reply reply;
+  Eventually([&] {
+    reply = Post(host, path, body);
+    return reply.code != 429 && reply.code != 503;
+  });
+  return reply;
+}
+
+std::string test_fleet::LeafControl(const std::string& path,
+                                    const std::string& parameters) const {
+  http_connection connection(Address(control_port_));
+  http_request request;
+  request.path = path;
+  request.parameters = parameters;
+  request.timeout = kLongestWait;
+  return connection.Execute(request).body;
+}
+
+}  // namespace corianderrail
--- /dev/null
+++ b/tests/process/test_fleet.h
@@ -0,0 +1,62 @@
+/** @file test_fleet.h A small fleet with stand-ins on ephemeral ports. */
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "process/child_process.h"
+#include "wire/http_client.h"
+
+namespace corianderrail {
+
+/** Two services with two leafs each, a platform, and hosts. */
+class test_fleet {
+ public:
+  explicit test_fleet(int hosts);
+
+  /** Waits until every host is ready and sees all others ready. */
+  bool WaitUntilReady();
+
+  std::uint16_t CallerPort(int host) const { return caller_ports_[host]; }
+  child_process& Host(int host) { return *hosts_[host]; }
+  const temporary_directory& Directory() const { return directory_; }
+  std::uint16_t LeafPort(int leaf) const {
+    return static_cast<std::uint16_t>(first_leaf_ + leaf);
+  }
+
+  http_reply Get(int host, const std::string& path) const;
+  http_reply Post(int host, const std::string& path,
+                  const std::string& body) const;
+
+  /** Repeats a POST while it is refused with a code of 429 or 503. */
+  http_reply PostUntilTaken(int host, const std::string& path,
+                            const std::string& body) const;
+
+  /** Calls a switch or counter of the leafs. */
+  std::string LeafControl(const std::string& path,
+                          const std::string& parameters) const;
+
+  static constexpr int kLeafs = 4;
+
+ private:
+  void WriteDocuments();
+  void StartHost(int number);
+
+  temporary_directory directory_;
+  std::uint16_t first_leaf_ = 0;
+  std::uint16_t control_port_ = 0;
+  std::uint16_t platform_port_ = 0;
+  std::vector<std::uint16_t> peer_ports_;
+  std::vector<std::uint16_t> caller_ports_;
+  std::unique_ptr<child_process> leafs_;
+  std::unique_ptr<child_process> platform_;
+  std::vector<std::unique_ptr<child_process>> hosts_;
+};
+
+/** Polls until the condition holds. @return False after 60 s. */
+bool Eventually(const std::function<bool()>& condition);
+
+}  // namespace corianderrail
--- a/tests/standin/standin_server.cpp
+++ b/tests/standin/standin_server.cpp
@@ -110,6 +110,7 @@
   standin_service service;
   cxxtools::EventLoop loop;
   cxxtools::http::Server server;
+  std::thread thread;
 };
 
 standin_server::standin_server(const std::vector<std::uint16_t>& ports,
@@ -123,7 +124,15 @@
   for (const auto port : ports) server.listen("127.0.0.1", port);
 }
 
-standin_server::~standin_server() = default;
+standin_server::~standin_server() {
+  if (!state_->thread.joinable()) return;
+  state_->loop.exit();
+  state_->thread.join();
+}
+
+void standin_server::Start() {
+  state_->thread = std::thread([this] { state_->loop.run(); });
+}
 
 void standin_server::Run() {
   sigset_t signals;
--- a/tests/standin/standin_server.h
+++ b/tests/standin/standin_server.h
@@ -43,9 +43,12 @@
   standin_server(const standin_server&) = delete;
   standin_server& operator=(const standin_server&) = delete;
 
-  /** Serves until SIGTERM or SIGINT. */
+  /** Serves until SIGTERM or SIGINT, then ends the process. */
   void Run();
 
+  /** Serves in a thread of its own until the destructor. */
+  void Start();
+
  private:
   struct state;
   std::unique_ptr<state> state_;
