--- a/packages/node/caller_routes.cpp
+++ b/packages/node/caller_routes.cpp
@@ -105,8 +105,7 @@
 }
 
 template <typename Event>
-caller_reply caller_routes::Call(Event happening,
-                                 const std::string& request_id,
+caller_reply caller_routes::Call(Event happening, const std::string& request_id,
                                  duration longest) {
   auto open = backend_.calls->Open();
   if (!open) {
@@ -126,8 +125,7 @@
   late.ran = run_state::unknown;
   late.reason = refusal_reason::outcome_unknown;
   late.detail = "the host did not answer in time; ask another address";
-  return {RefusalHttpCode(late.reason), "application/json",
-          WriteRefusal(late)};
+  return {RefusalHttpCode(late.reason), "application/json", WriteRefusal(late)};
 }
 
 caller_reply caller_routes::Write(const call_outcome& outcome) {
@@ -188,8 +186,7 @@
   } catch (const std::exception& error) {
     throw wire_error(wire_error::kind::bad_syntax, error.what());
   }
-  if (happening.customer.empty() ||
-      happening.customer.size() > kNameLimit ||
+  if (happening.customer.empty() || happening.customer.size() > kNameLimit ||
       happening.zone.size() > kNameLimit) {
     throw wire_error(wire_error::kind::missing_member,
                      "parameter 'customer' must have 1 to 256 bytes and "
--- a/packages/node/caller_routes.h
+++ b/packages/node/caller_routes.h
@@ -21,9 +21,9 @@
 
 /** A reply without its transport. */
 struct caller_reply {
-  unsigned code = 200;      ///< HTTP status code.
+  unsigned code = 200;                    ///< HTTP status code.
   std::string type = "application/json";  ///< Media type.
-  std::string body;         ///< Body.
+  std::string body;                       ///< Body.
 };
 
 /** Routes requests; one object serves all threads. */
--- a/packages/node/caller_server.cpp
+++ b/packages/node/caller_server.cpp
@@ -124,9 +124,8 @@
     try {
       size = ReadNumber("Content-Length", length, kCallerBodyLimit);
     } catch (const wire_error& error) {
-      const bool digits =
-          std::string_view(length).find_first_not_of("0123456789") ==
-          std::string_view::npos;
+      const bool digits = std::string_view(length).find_first_not_of(
+                              "0123456789") == std::string_view::npos;
       throw bad_request_error(digits && *length != '\0' ? 413 : 400,
                               error.what());
     }
@@ -155,8 +154,8 @@
 void caller_responder::reply(std::ostream& out,
                              cxxtools::http::Request& request,
                              cxxtools::http::Reply& reply) {
-  const auto answer = routes_.Handle({request.method(), request.url(),
-                                      request.qparams(), request.bodyStr()});
+  const auto answer = routes_.Handle(
+      {request.method(), request.url(), request.qparams(), request.bodyStr()});
   Write(out, reply, answer, routes_.Closing());
 }
 
--- a/packages/node/caller_server.h
+++ b/packages/node/caller_server.h
@@ -15,13 +15,13 @@
 
 /** What the service needs from the host. All are called by many threads. */
 struct caller_backend {
-  std::function<void(event)> post;           ///< Queues an event.
-  std::function<host_phase()> phase;         ///< Phase of the host.
-  std::function<std::string()> status_json;  ///< Body of GET /v1/status.
-  std::function<std::string()> audit_json;   ///< Body of GET /v1/audit.
-  std::function<std::string()> metrics_text;      ///< Body of GET /metrics.
-  std::function<void(duration)> answered;    ///< Time of an answered query.
-  call_table* calls = nullptr;               ///< Calls that wait.
+  std::function<void(event)> post;            ///< Queues an event.
+  std::function<host_phase()> phase;          ///< Phase of the host.
+  std::function<std::string()> status_json;   ///< Body of GET /v1/status.
+  std::function<std::string()> audit_json;    ///< Body of GET /v1/audit.
+  std::function<std::string()> metrics_text;  ///< Body of GET /metrics.
+  std::function<void(duration)> answered;     ///< Time of an answered query.
+  call_table* calls = nullptr;                ///< Calls that wait.
 };
 
 /** Serves callers in its own threads. */
--- a/packages/node/leaf_client.cpp
+++ b/packages/node/leaf_client.cpp
@@ -182,9 +182,9 @@
   if (connection.Phase() == leaf_connection::phase::closed) {
     // A connection that worked is reopened at once.
     connection.retry_pause =
-        result.reply ? duration::zero()
-                     : std::clamp(2 * connection.retry_pause, kRetryMin,
-                                  kRetryMax);
+        result.reply
+            ? duration::zero()
+            : std::clamp(2 * connection.retry_pause, kRetryMin, kRetryMax);
     connection.retry_at = now + connection.retry_pause;
   } else {
     connection.retry_pause = duration::zero();
--- a/packages/node/leaf_connection.cpp
+++ b/packages/node/leaf_connection.cpp
@@ -25,8 +25,7 @@
     : client_(selector, address.host, address.port),
       finished_(std::move(finished)) {
   cxxtools::connect(client_.bodyAvailable, *this, &leaf_connection::OnBody);
-  cxxtools::connect(client_.replyFinished, *this,
-                    &leaf_connection::OnFinished);
+  cxxtools::connect(client_.replyFinished, *this, &leaf_connection::OnFinished);
 }
 
 void leaf_connection::Begin(time_point deadline, phase next) {
@@ -99,9 +98,9 @@
     if (header.httpReturnCode() == 200) result.reply.emplace();
     return result;
   }
-  result.reply = ReadLeafReply(header.httpReturnCode(), lookup,
-                               std::move(body_), result.exchange->request_id,
-                               result.exchange->request);
+  result.reply =
+      ReadLeafReply(header.httpReturnCode(), lookup, std::move(body_),
+                    result.exchange->request_id, result.exchange->request);
   return result;
 }
 
--- a/packages/node/leaf_connection.h
+++ b/packages/node/leaf_connection.h
@@ -60,8 +60,8 @@
   phase Phase() const { return phase_; }
   time_point Deadline() const { return deadline_; }
 
-  time_point retry_at{};       ///< When a closed connection is opened again.
-  duration retry_pause{};      ///< Last pause before opening again.
+  time_point retry_at{};   ///< When a closed connection is opened again.
+  duration retry_pause{};  ///< Last pause before opening again.
 
  private:
   void Begin(time_point deadline, phase next);
--- a/packages/node/logging.cpp
+++ b/packages/node/logging.cpp
@@ -21,16 +21,15 @@
 class json_layout : public log4cplus::Layout {
  public:
   // NOLINTNEXTLINE(readability-identifier-naming): name of the library.
-  void formatAndAppend(log4cplus::tostream& out,
-                       const log4cplus::spi::InternalLoggingEvent& line)
-      override {
-    const auto micros =
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            line.getTimestamp().time_since_epoch());
+  void formatAndAppend(
+      log4cplus::tostream& out,
+      const log4cplus::spi::InternalLoggingEvent& line) override {
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
+        line.getTimestamp().time_since_epoch());
     json_writer json;
     json.Unsigned("unix_us", static_cast<std::uint64_t>(micros.count()))
-        .Text("level", log4cplus::getLogLevelManager().toString(
-                           line.getLogLevel()))
+        .Text("level",
+              log4cplus::getLogLevelManager().toString(line.getLogLevel()))
         .Text("text", line.getMessage());
     out << json.Finish() << '\n';
   }
--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -45,7 +45,8 @@
   std::array<poptOption, 4> options = {{
       {"settings", 's', POPT_ARG_STRING, &settings, 0,
        "Read the settings of this host from FILE (TOML)", "FILE"},
-      {"version", 'V', POPT_ARG_NONE, &version, 0, "Print the version", nullptr},
+      {"version", 'V', POPT_ARG_NONE, &version, 0, "Print the version",
+       nullptr},
       POPT_AUTOHELP POPT_TABLEEND,
   }};
   const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
--- a/packages/node/metrics.cpp
+++ b/packages/node/metrics.cpp
@@ -140,9 +140,8 @@
   out.Type(kName, "summary");
   const std::lock_guard lock(state_->mutex);
   for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
-    out.Out() << exposition::kPrefix << kName << "{quantile=\""
-              << kQuantiles[i] << "\"} "
-              << acc::p_square_quantile(state_->quantiles[i]) << '\n';
+    out.Out() << exposition::kPrefix << kName << "{quantile=\"" << kQuantiles[i]
+              << "\"} " << acc::p_square_quantile(state_->quantiles[i]) << '\n';
   }
   out.Out() << exposition::kPrefix << kName << "_sum " << acc::sum(state_->sum)
             << '\n'
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -37,8 +37,8 @@
   host.self.zone = from.zone;
   host.self.region = from.region;
   host.self.capacity = from.capacity;
-  host.seed = (std::uint64_t{std::random_device{}()} << 32) ^
-              std::random_device{}();
+  host.seed =
+      (std::uint64_t{std::random_device{}()} << 32) ^ std::random_device{}();
   host.started = event_loop::Now();
   host.contracts = ValidateContracts;
   host.topologies = ParseTopology;
--- a/packages/node/platform_client.cpp
+++ b/packages/node/platform_client.cpp
@@ -167,8 +167,7 @@
 }
 
 platform_client::platform_client(std::string address, sink deliver)
-    : state_(
-          std::make_shared<state>(std::move(address), std::move(deliver))) {
+    : state_(std::make_shared<state>(std::move(address), std::move(deliver))) {
   for (int i = 0; i < kThreads; ++i) {
     // Detached, because a watch may wait for longer than a stop may take.
     std::thread([shared = state_] { shared->Run(); }).detach();
--- a/packages/node/settings.cpp
+++ b/packages/node/settings.cpp
@@ -38,10 +38,9 @@
   std::string key;          ///< Its key.
 
   [[noreturn]] void Fail(kind reason, const std::string& text) const {
-    throw settings_error(reason,
-                         file + ':' +
-                             std::to_string(node.source().begin.line) + ": " +
-                             text);
+    throw settings_error(
+        reason,
+        file + ':' + std::to_string(node.source().begin.line) + ": " + text);
   }
 
   std::string Text(std::size_t shortest, std::size_t longest) const {
@@ -148,8 +147,7 @@
      }},
     {"capacity", false,
      [](const place& from, node_settings& into) {
-       into.capacity =
-           static_cast<std::uint32_t>(from.Integer(1, 1'000'000));
+       into.capacity = static_cast<std::uint32_t>(from.Integer(1, 1'000'000));
      }},
     {"shared_key", true,
      [](const place& from, node_settings& into) {
@@ -290,19 +288,22 @@
   const auto& member = settings.host.member;
   if (member.probe_timeout >= member.probe_period) {
     throw settings_error(kind::out_of_range,
-                         file + ": 'probe_timeout_ms' must be below "
-                                "'probe_period_ms'");
+                         file +
+                             ": 'probe_timeout_ms' must be below "
+                             "'probe_period_ms'");
   }
   if (settings.host.life.drain < settings.host.address.time_to_live) {
     throw settings_error(kind::out_of_range,
-                         file + ": 'drain_ms' must be at least "
-                                "'time_to_live_ms', so that callers that know "
-                                "the address are still served");
+                         file +
+                             ": 'drain_ms' must be at least "
+                             "'time_to_live_ms', so that callers that know "
+                             "the address are still served");
   }
   if (settings.peer_address == settings.caller_address) {
     throw settings_error(kind::out_of_range,
-                         file + ": 'peer_address' and 'caller_address' must "
-                                "differ");
+                         file +
+                             ": 'peer_address' and 'caller_address' must "
+                             "differ");
   }
 }
 
--- a/packages/node/settings.h
+++ b/packages/node/settings.h
@@ -38,17 +38,17 @@
 
 /** Everything that an operator sets for one host. */
 struct node_settings {
-  std::string peer_address;           ///< IP and port for hosts.
-  std::string caller_address;         ///< IP and port for callers.
-  std::string zone;                   ///< Availability zone.
-  std::string region;                 ///< Region.
-  std::uint32_t capacity = 100;       ///< Relative weight of this host.
-  std::string shared_key;             ///< Signs messages between hosts.
-  std::string platform_address;       ///< IP and port of the platform.
-  std::uint32_t caller_threads = 64;  ///< Calls that wait at the same time.
-  std::string log_level = "info";     ///< error, warn, info or debug.
+  std::string peer_address;              ///< IP and port for hosts.
+  std::string caller_address;            ///< IP and port for callers.
+  std::string zone;                      ///< Availability zone.
+  std::string region;                    ///< Region.
+  std::uint32_t capacity = 100;          ///< Relative weight of this host.
+  std::string shared_key;                ///< Signs messages between hosts.
+  std::string platform_address;          ///< IP and port of the platform.
+  std::uint32_t caller_threads = 64;     ///< Calls that wait at the same time.
+  std::string log_level = "info";        ///< error, warn, info or debug.
   log_layout layout = log_layout::text;  ///< Form of log lines.
-  host_settings host;                 ///< Timing; identity is added at start.
+  host_settings host;  ///< Timing; identity is added at start.
 };
 
 /**
--- a/packages/node/tests/settings_test.cpp
+++ b/packages/node/tests/settings_test.cpp
@@ -2,8 +2,8 @@
 
 #include "node/settings.h"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck.h>
+#include <catch2/catch.hpp>
 
 #include <array>
 #include <string>
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -80,7 +80,8 @@
   auto address = Loopback(0);
   socklen_t size = sizeof(address);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(file, generic, size) != 0 || getsockname(file, generic, &size) != 0) {
+  if (bind(file, generic, size) != 0 ||
+      getsockname(file, generic, &size) != 0) {
     close(file);
     throw std::runtime_error("no free port");
   }
@@ -90,7 +91,8 @@
 
 temporary_directory::temporary_directory() {
   std::string name =
-      (std::filesystem::temp_directory_path() / "corianderrail-XXXXXX").string();
+      (std::filesystem::temp_directory_path() / "corianderrail-XXXXXX")
+          .string();
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("mkdtemp");
   path_ = name;
 }
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -111,7 +111,7 @@
                    "format = 1\nrevision = 1\nseats = [" + seats +
                        "]\n[[customer]]\nname = \"acme\"\nrevision = 1\n"
                        "digest = " +
-                       Quoted(DigestText(DigestBytes(kContract))) + "\n");
+                       Quoted(FormatDigest(DigestOf(kContract))) + "\n");
   std::string topology =
       "format = 1\nversion = 1\nkey_space = 1000\n[[collection]]\n"
       "name = \"index\"\nslots = 2\nconnections = 20\n";
--- a/tests/standin/leaf_model.cpp
+++ b/tests/standin/leaf_model.cpp
@@ -161,7 +161,8 @@
   flag("truncated", faults_.truncated);
   flag("wrong_snapshot", faults_.wrong_snapshot);
   flag("draining", draining_);
-  faults_.slow = static_cast<std::uint32_t>(request.Number("slow", faults_.slow));
+  faults_.slow =
+      static_cast<std::uint32_t>(request.Number("slow", faults_.slow));
   const auto added = request.Number("add_snapshot", 0);
   if (added != 0) settings_.snapshots.push_back(added);
   const auto removed = request.Number("remove_snapshot", 0);
--- a/tests/standin/leaf_model.h
+++ b/tests/standin/leaf_model.h
@@ -26,10 +26,10 @@
 
 /** What a leaf is like. */
 struct leaf_settings {
-  std::uint32_t slots = 2;        ///< Requests that run at the same time.
-  std::uint32_t queue = 8;        ///< Requests that wait; more are shed.
+  std::uint32_t slots = 2;          ///< Requests that run at the same time.
+  std::uint32_t queue = 8;          ///< Requests that wait; more are shed.
   std::uint32_t service_us = 2000;  ///< Mean service time.
-  std::uint64_t seed = 1;         ///< Seed of the service times.
+  std::uint64_t seed = 1;           ///< Seed of the service times.
   std::vector<std::uint64_t> snapshots = {1};  ///< Held, oldest first.
 };
 
--- a/tests/standin/standin_leaf.cpp
+++ b/tests/standin/standin_leaf.cpp
@@ -119,9 +119,10 @@
   constexpr unsigned kThreads = 400;
   try {
     leaf_farm farm(ReadOptions(argc, const_cast<const char**>(argv)));
-    standin_server server(
-        farm.Ports(), kThreads,
-        [&farm](const standin_request& request) { return farm.Handle(request); });
+    standin_server server(farm.Ports(), kThreads,
+                          [&farm](const standin_request& request) {
+                            return farm.Handle(request);
+                          });
     server.Run();
   } catch (const std::exception& error) {
     std::fprintf(stderr, "standin_leaf: %s\n", error.what());
--- a/tests/standin/standin_server.cpp
+++ b/tests/standin/standin_server.cpp
@@ -13,13 +13,13 @@
 #include <cxxtools/net/tcpsocket.h>
 #include <cxxtools/query_params.h>
 #include <cxxtools/regex.h>
-#include <sys/socket.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <ostream>
 #include <istream>
+#include <ostream>
 #include <thread>
 #include <utility>
 
--- a/tests/standin/standin_server.h
+++ b/tests/standin/standin_server.h
@@ -14,12 +14,12 @@
 
 /** A request to a stand-in. */
 struct standin_request {
-  std::uint16_t port = 0;  ///< Port that it came to.
-  std::string method;      ///< HTTP method.
-  std::string path;        ///< Path.
+  std::uint16_t port = 0;   ///< Port that it came to.
+  std::string method;       ///< HTTP method.
+  std::string path;         ///< Path.
   header_lookup parameter;  ///< Looks up a parameter of the URL.
-  header_lookup header;                           ///< Headers.
-  std::string body;                               ///< Body.
+  header_lookup header;     ///< Headers.
+  std::string body;         ///< Body.
 
   /** Parameter as a number, or `absent`. */
   std::uint64_t Number(const char* name, std::uint64_t absent) const;
