--- a/tests/driver/fake_leaf_test.cpp
+++ b/tests/driver/fake_leaf_test.cpp
@@ -14,7 +14,7 @@
   request.snapshot = snapshot_id{1};
   request.range = kRange;
   request.remaining = std::chrono::seconds(10);
-  request.payload = "q";
+  request.payload = "query";
   return request;
 }
 
@@ -51,7 +51,7 @@
   const leaf_evidence evidence = ParseEvidence(replies[0].reply.payload);
   CHECK(evidence.snapshot == snapshot_id{1});
   CHECK(evidence.range == kRange);
-  CHECK(evidence.query == "q");
+  CHECK(evidence.query == "query");
 }
 
 // Guards against a leaf that answers for a snapshot or keys it lacks.
