--- a/bench/scenario_run.cpp
+++ b/bench/scenario_run.cpp
@@ -58,6 +58,7 @@
   const driver::fake_leaf_settings leaf;
   store_.Install(*fleet_, leaf, settings.seed);
   for (const driver::collection_plan& plan : store_.Plan().collections) {
+    result_.collections.push_back(plan.name);
     result_.capacity.push_back(driver::Capacity(plan, leaf));
   }
   result_.flooded.resize(result_.capacity.size());
--- a/bench/scenario_run.h
+++ b/bench/scenario_run.h
@@ -54,12 +54,13 @@
 
 /** Everything that a run leaves behind. */
 struct run_result {
-  std::uint64_t seed = 0;        ///< Seed.
-  window_span reference;         ///< Before the fault.
-  window_span measured;          ///< Under the fault.
-  time_point ended{};            ///< End of the fault, if it ends.
-  std::vector<bool> flooded;     ///< By collection.
-  std::vector<double> capacity;  ///< Leaf requests/s, by collection.
+  std::uint64_t seed = 0;                ///< Seed.
+  window_span reference;                 ///< Before the fault.
+  window_span measured;                  ///< Under the fault.
+  time_point ended{};                    ///< End of the fault, if it ends.
+  std::vector<std::string> collections;  ///< Names.
+  std::vector<bool> flooded;             ///< By collection.
+  std::vector<double> capacity;          ///< Leaf requests/s, by collection.
   std::vector<driver::query_sample> samples;  ///< All queries.
   driver::answer_faults faults;               ///< Violated invariants.
 };
