--- a/packages/core/tests/entry_fixture.h
+++ b/packages/core/tests/entry_fixture.h
@@ -47,7 +47,8 @@
   }
 
   /** One partition per service, equal in size, for each snapshot. */
-  void PublishTopology(std::size_t count, std::vector<snapshot_id> snapshots) {
+  void PublishTopology(std::size_t count,
+                       const std::vector<snapshot_id>& snapshots) {
     auto fresh = std::make_shared<topology>();
     fresh->version = map ? map->version + 1 : 1;
     collection_info collection;
--- a/packages/core/tests/query_gather_test.cpp
+++ b/packages/core/tests/query_gather_test.cpp
@@ -368,11 +368,11 @@
       if (fault == 3) result.parts[0].payload.clear();
       send_peer_effect from = send;
       if (fault == 4) from.to_incarnation = incarnation_id{1};
-      const auto open = [&] {
+      const auto open = [&, query = batch.query] {
         const auto answers = f.Collect<answer_query_effect>();
-        return std::none_of(answers.begin(), answers.end(), [&](auto& a) {
-          return Raw(a.call) == call_of[batch.query];
-        });
+        const std::uint64_t call = call_of[query];
+        return std::none_of(answers.begin(), answers.end(),
+                            [&](auto& a) { return Raw(a.call) == call; });
       }();
       const bool valid = fault == 3 || fault > 4;
       if (valid && open) {
