Tighten the properties of answers and orders

Two mutants passed the tests: one that counted a duplicated part twice and one that opened attempts without a bound.

--- a/packages/core/tests/order_property_test.cpp
+++ b/packages/core/tests/order_property_test.cpp
@@ -123,6 +123,7 @@
   void OnAttempt(const send_peer_effect& send, const order_attempt& attempt) {
     RC_ASSERT_FALSE(told_not_run.contains(attempt.id));
     RC_ASSERT(attempt.remaining > duration{});
+    RC_ASSERT(attempt.attempt <= 2U);
     const auto last = last_attempt.find(attempt.id);
     if (last != last_attempt.end()) {
       // The only open attempt must have been answered `not_run`.
--- a/packages/core/tests/query_gather_test.cpp
+++ b/packages/core/tests/query_gather_test.cpp
@@ -354,6 +354,7 @@
     for (const auto& [send, batch] : sent) {
       if (!call_of.contains(batch.query)) call_of[batch.query] = ++next;
     }
+    std::uint64_t strays = 0;
     const int steps = *rc::gen::inRange(0, 60);
     for (int step = 0; step < steps; ++step) {
       const auto& [send, batch] =
@@ -375,15 +376,23 @@
                             [&](auto& a) { return Raw(a.call) == call; });
       }();
       const bool valid = fault == 3 || fault > 4;
+      bool counts = false;
       if (valid && open) {
         if (fault == 3) {
           result.parts[0].payload =
               f.PayloadOf(batch.snapshot, result.parts[0].partition);
         }
-        delivered[batch.query].insert(result.parts[0].partition);
+        counts =
+            delivered[batch.query].insert(result.parts[0].partition).second;
       }
+      if (!counts) ++strays;
       f.Deliver(from, result);
     }
+    RC_ASSERT(f.gather.Counters().stray == strays);
+    // No time has passed, so only whole answers may have been sent.
+    for (const auto& early : f.Collect<answer_query_effect>()) {
+      RC_ASSERT(early.answer.status == answer_status::complete);
+    }
     f.Tick(std::chrono::seconds(1));
     const auto answers = f.Collect<answer_query_effect>();
     RC_ASSERT(answers.size() == count);
