--- a/packages/core/tests/order_table_test.cpp
+++ b/packages/core/tests/order_table_test.cpp
@@ -128,6 +128,19 @@
   CHECK(Answers().at(0).status.state == order_state::ran);
 }
 
+// Guards against an order that follows its service from owner to owner until
+// its deadline: two attempts are the bound.
+TEST_CASE_METHOD(order_fixture, "OrderTable_SecondOwnerSaidNotRun_EndsNotRun") {
+  Order(IssueOne(), 1);
+  RemoveMember(Sent<order_attempt>().back().first.to);
+  Result(run_state::not_run);
+  REQUIRE(Sent<order_attempt>().size() == 2);
+  RemoveMember(Sent<order_attempt>().back().first.to);
+  Result(run_state::not_run);
+  CHECK(Sent<order_attempt>().size() == 2);
+  CHECK(Answers().at(0).status.state == order_state::not_run);
+}
+
 // Guards against a retry at the same owner, which has tried its leafs already.
 TEST_CASE_METHOD(order_fixture, "OrderTable_SameOwnerSaidNotRun_EndsNotRun") {
   Order(IssueOne(), 1);
