--- a/bench/bench_report.cpp
+++ b/bench/bench_report.cpp
@@ -293,15 +293,12 @@
   };
   constexpr std::array<std::pair<const char*, double>, 3> kQuantiles = {
       {{"p50_ms", 0.5}, {"p99_ms", 0.99}, {"p999_ms", 0.999}}};
-  for (const auto& [name, quantile] : kQuantiles) {
-    line.Spread(name,
-                ForEachRun(runs,
-                           [&](const run_result& run) {
-                             return Quantile(
-                                 Latencies(run, run.measured, filter),
-                                 quantile);
-                           }),
-                true);
+  for (const auto& entry : kQuantiles) {
+    const double quantile = entry.second;
+    const auto value = [&](const run_result& run) {
+      return Quantile(Latencies(run, run.measured, filter), quantile);
+    };
+    line.Spread(entry.first, ForEachRun(runs, value), true);
   }
   line.Spread(
       "answered",
--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -35,12 +35,13 @@
 
 void RunLine(const load_scenario& scenario, const driver::deployment_plan& plan,
              version_kind version, const bench_options& options) {
+  const auto seeds = static_cast<std::uint64_t>(options.seeds);
   std::vector<run_result> runs;
-  for (int i = 0; i < options.seeds; ++i) {
+  for (std::uint64_t i = 0; i < seeds; ++i) {
     run_settings settings;
     settings.plan = plan;
     settings.version = version;
-    settings.seed = static_cast<std::uint64_t>(options.first_seed + i);
+    settings.seed = static_cast<std::uint64_t>(options.first_seed) + i;
     settings.window = std::chrono::milliseconds(options.window_ms);
     scenario_run run(settings);
     scenario.play(run);
--- a/bench/load_scenarios.cpp
+++ b/bench/load_scenarios.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-using driver::fake_leaf;
 using std::chrono::milliseconds;
 
 constexpr double kStragglerFactor = 20;
--- a/bench/naive_host.cpp
+++ b/bench/naive_host.cpp
@@ -43,7 +43,7 @@
   return sent;
 }
 
-void naive_host::Retry(baseline_part part, time_point now,
+void naive_host::Retry(const baseline_part& part, time_point now,
                        effect_list& effects) {
   if (part.attempts >= kAttempts || !Wanted(part)) {
     PartFailed(part, now, effects);
--- a/bench/naive_host.h
+++ b/bench/naive_host.h
@@ -40,7 +40,7 @@
   };
 
   void Drain(leaf_id leaf, time_point now, effect_list& effects);
-  void Retry(baseline_part part, time_point now, effect_list& effects);
+  void Retry(const baseline_part& part, time_point now, effect_list& effects);
   sent_part Take(leaf_call_id call);
 
   std::unordered_map<leaf_id, leaf_state> leafs_;
--- a/tests/driver/virtual_fleet.cpp
+++ b/tests/driver/virtual_fleet.cpp
@@ -17,6 +17,8 @@
 struct overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
 
 }  // namespace
 
@@ -64,8 +66,8 @@
   host_slot& slot = hosts_[host];
   slot.self.reset();
   leafs.Forget(host);
-  for (auto& [id, handler] : slot.calls) {
-    After(delays_.to_client, [handler] { handler(nullptr); });
+  for (const auto& call : slot.calls) {
+    After(delays_.to_client, [handler = call.second] { handler(nullptr); });
   }
   slot.calls.clear();
   slot.inbox.clear();
@@ -136,13 +138,13 @@
 }
 
 void virtual_fleet::OpenCall(std::size_t host, call_id call, event request,
-                             answer_handler handler) {
-  After(delays_.to_client, [this, host, call, request = std::move(request),
-                            handler = std::move(handler)] {
-    if (!hosts_[host].self) return handler(nullptr);
-    hosts_[host].calls[call] = handler;
-    Deliver(host, hosts_[host].life, request);
-  });
+                             const answer_handler& handler) {
+  After(delays_.to_client,
+        [this, host, call, request = std::move(request), handler] {
+          if (!hosts_[host].self) return handler(nullptr);
+          hosts_[host].calls[call] = handler;
+          Deliver(host, hosts_[host].life, request);
+        });
 }
 
 void virtual_fleet::Answer(std::size_t host, call_id call, effect answer) {
--- a/tests/driver/virtual_fleet.h
+++ b/tests/driver/virtual_fleet.h
@@ -43,9 +43,10 @@
 
   /** Sends a caller's event; its `call` is filled in. */
   template <typename Event>
-  void Call(std::size_t host, Event request, answer_handler handler) {
-    request.call = call_id{++last_call_};
-    OpenCall(host, request.call, std::move(request), std::move(handler));
+  void Call(std::size_t host, Event request, const answer_handler& handler) {
+    const call_id call{++last_call_};
+    request.call = call;
+    OpenCall(host, call, std::move(request), handler);
   }
 
   /** Gives an event to a host unless that life has ended. */
@@ -80,7 +81,7 @@
   };
 
   void OpenCall(std::size_t host, call_id call, event request,
-                answer_handler handler);
+                const answer_handler& handler);
   void Answer(std::size_t host, call_id call, effect answer);
   void Carry(std::size_t host, effect_list& effects);
   void PlanWake(std::size_t host);
