--- /dev/null
+++ b/tests/process/event_inbox.h
@@ -0,0 +1,56 @@
+/** @file event_inbox.h Collects the events that a client delivers. */
+
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/event_type.h"
+
+namespace corianderrail {
+
+/** Events in the order of their arrival; safe for several threads. */
+class event_inbox {
+ public:
+  void Put(event happening) {
+    const std::lock_guard lock(mutex_);
+    events_.push_back(std::move(happening));
+    changed_.notify_all();
+  }
+
+  /** Removes and returns the first event of a type that satisfies the
+   *  condition; nothing after 60 s. */
+  template <typename Event, typename Condition>
+  std::optional<Event> Take(Condition condition) {
+    std::optional<Event> taken;
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, std::chrono::seconds(60), [&] {
+      for (auto it = events_.begin(); it != events_.end(); ++it) {
+        auto* found = std::get_if<Event>(&*it);
+        if (found == nullptr || !condition(*found)) continue;
+        taken = std::move(*found);
+        events_.erase(it);
+        return true;
+      }
+      return false;
+    });
+    return taken;
+  }
+
+  template <typename Event>
+  std::optional<Event> Take() {
+    return Take<Event>([](const Event&) { return true; });
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<event> events_;
+};
+
+}  // namespace corianderrail
