--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	@scripts/install_packages.sh
 
 build: deps
-	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
 	@cmake --build $(BUILD)
 
 # Formatter check, linter and every test; closes with ctest's summary.
@@ -34,13 +34,13 @@
 	@scripts/lint.sh $(BUILD)
 
 test-asan: deps
-	@cmake -S . -B build/asan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	@cmake -S . -B build/asan -G Ninja -DCMAKE_BUILD_TYPE=Release \
 	  -DCORIANDERRAIL_SANITIZE=address,undefined >/dev/null
 	@cmake --build build/asan
 	@scripts/run_tests.sh build/asan $(CTEST_ARGS)
 
 test-tsan: deps
-	@cmake -S . -B build/tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	@cmake -S . -B build/tsan -G Ninja -DCMAKE_BUILD_TYPE=Release \
 	  -DCORIANDERRAIL_SANITIZE=thread >/dev/null
 	@cmake --build build/tsan
 	@scripts/run_tests.sh build/tsan $(CTEST_ARGS)
