--- a/packages/node/caller_routes.h
+++ b/packages/node/caller_routes.h
@@ -43,7 +43,7 @@
  private:
   using handler = caller_reply (caller_routes::*)(const caller_request&);
   struct route;
-  static const route kRoutes[];
+  static const route routes_[];
 
   caller_reply Query(const caller_request& request);
   caller_reply Order(const caller_request& request);
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <concepts>
 #include <optional>
 #include <random>
 #include <string>
@@ -65,20 +66,12 @@
   void OnPeerBytes(std::string_view bytes);
   std::string MetricsText();
 
-  void Do(answer_query_effect& effect, const host_reducer&) {
-    calls.Finish(effect.call, std::move(effect));
-  }
-  void Do(refuse_effect& effect, const host_reducer&) {
-    calls.Finish(effect.call, std::move(effect));
-  }
-  void Do(answer_order_effect& effect, const host_reducer&) {
-    calls.Finish(effect.call, std::move(effect));
-  }
-  void Do(answer_order_ids_effect& effect, const host_reducer&) {
-    calls.Finish(effect.call, std::move(effect));
-  }
-  void Do(answer_addresses_effect& effect, const host_reducer&) {
-    calls.Finish(effect.call, std::move(effect));
+  /** Ends the call of any effect that answers a caller. */
+  template <typename Answer>
+  requires std::constructible_from<call_outcome, Answer>
+  void Do(Answer& effect, const host_reducer&) {
+    const call_id call = effect.call;
+    calls.Finish(call, std::move(effect));
   }
   void Do(send_peer_effect& effect, const host_reducer& reducer);
   void Do(send_leaf_effect& effect, const host_reducer&) {
--- a/packages/node/settings.cpp
+++ b/packages/node/settings.cpp
@@ -73,7 +73,7 @@
   }
 
   std::string Address() const {
-    const auto text = Text(1, kSettingsNameLimit);
+    auto text = Text(1, kSettingsNameLimit);
     try {
       if (ReadIpAddress(text).port != 0) return text;
     } catch (const wire_error&) {
@@ -111,7 +111,7 @@
 std::string ReadLevel(const place& from) {
   constexpr std::array<std::string_view, 4> kLevels = {"error", "warn", "info",
                                                        "debug"};
-  const auto text = from.Text(1, kSettingsNameLimit);
+  auto text = from.Text(1, kSettingsNameLimit);
   if (std::find(kLevels.begin(), kLevels.end(), text) == kLevels.end()) {
     from.Fail(kind::out_of_range,
               "'log_level' must be error, warn, info or debug");
@@ -262,10 +262,11 @@
         std::find_if(rows.begin(), rows.end(),
                      [&](const key_row& one) { return one.name == name; });
     if (row == rows.end()) {
-      throw settings_error(
-          kind::unknown_key,
-          file + ':' + std::to_string(key.source().begin.line) +
-              ": unknown key '" + name + "'" + Suggestion(name, rows));
+      std::string text = file;
+      text += ':' + std::to_string(key.source().begin.line);
+      text += ": unknown key '" + name + "'";
+      text += Suggestion(name, rows);
+      throw settings_error(kind::unknown_key, text);
     }
     if (row->read != nullptr) {
       row->read(from, into);
--- a/packages/node/tests/caller_routes_test.cpp
+++ b/packages/node/tests/caller_routes_test.cpp
@@ -5,12 +5,13 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace corianderrail {
 namespace {
 
-const std::string kQuery =
+const std::string query_body =
     R"({"request_id":"r","customer":"c","kind":"k","deadline_ms":1})";
 
 /** Routes whose events are answered by a function of the test. */
@@ -19,7 +20,7 @@
   caller_routes MakeRoutes() {
     caller_backend backend;
     backend.post = [this](event happening) {
-      posted_.push_back(happening);
+      posted_.push_back(std::move(happening));
       if (answer_) answer_(posted_.back());
     };
     backend.phase = [this] { return phase_; };
@@ -38,7 +39,7 @@
 TEST_CASE_METHOD(caller_routes_fixture,
                  "CallerRoutes_NoAnswerInTime_SaysUnknown") {
   auto routes = MakeRoutes();
-  const auto reply = routes.Handle({"POST", "/v1/query", "", kQuery});
+  const auto reply = routes.Handle({"POST", "/v1/query", "", query_body});
   CHECK(reply.code == 504);
   CHECK(reply.body.find(R"("ran":"unknown")") != std::string::npos);
   REQUIRE(posted_.size() == 2);
@@ -50,7 +51,7 @@
                  "CallerRoutes_TooManyWait_RefusesWithoutRunning") {
   auto routes = MakeRoutes();
   const auto occupied = calls_.Open();
-  const auto reply = routes.Handle({"POST", "/v1/query", "", kQuery});
+  const auto reply = routes.Handle({"POST", "/v1/query", "", query_body});
   CHECK(reply.code == 503);
   CHECK(reply.body.find(R"("request_id":"r","ran":"not_run")") !=
         std::string::npos);
@@ -69,7 +70,7 @@
     calls_.Finish(query.call, refused);
   };
   auto routes = MakeRoutes();
-  CHECK(routes.Handle({"POST", "/v1/query", "", kQuery}).code == 429);
+  CHECK(routes.Handle({"POST", "/v1/query", "", query_body}).code == 429);
 }
 
 // Guards against bad input that reaches the reducer.
--- a/packages/node/tests/settings_test.cpp
+++ b/packages/node/tests/settings_test.cpp
@@ -12,7 +12,7 @@
 namespace corianderrail {
 namespace {
 
-const std::string kGood =
+const std::string good_settings =
     "peer_address = \"127.0.0.1:7001\"\n"
     "caller_address = \"127.0.0.1:7002\"\n"
     "zone = \"a\"\n"
@@ -33,7 +33,7 @@
 // Guards against keys that are accepted but not used.
 TEST_CASE("Settings_WholeFile_FillsEveryField") {
   const auto settings = ParseSettings(
-      kGood +
+      good_settings +
           "capacity = 7\nseeds = [\"127.0.0.1:7003\"]\nlog_level = \"warn\"\n"
           "log_layout = \"json\"\ncaller_threads = 3\n[timing]\n"
           "probe_period_ms = 50\nprobe_timeout_ms = 20\nsuspicion_ms = 300\n",
@@ -56,7 +56,7 @@
 
 // Guards against misspelled keys that leave a default in force.
 TEST_CASE("Settings_MisspelledKey_NamesLineAndNearestKey") {
-  const auto error = ErrorOf(kGood + "capacty = 5\n");
+  const auto error = ErrorOf(good_settings + "capacty = 5\n");
   CHECK(error.Reason() == settings_error::kind::unknown_key);
   CHECK(std::string(error.what()) ==
         "settings.toml:7: unknown key 'capacty'; did you mean 'capacity'?");
@@ -64,7 +64,7 @@
 
 // Guards against checks that end at the outermost table.
 TEST_CASE("Settings_MisspelledTimingKey_NamesNearestKey") {
-  const auto error = ErrorOf(kGood + "[timing]\nprobe_periodms = 5\n");
+  const auto error = ErrorOf(good_settings + "[timing]\nprobe_periodms = 5\n");
   CHECK(std::string(error.what()).find("did you mean 'probe_period_ms'?") !=
         std::string::npos);
 }
@@ -86,7 +86,7 @@
   }};
   for (const auto& [line, expected] : cases) {
     INFO(line);
-    CHECK(ErrorOf(kGood + line).Reason() == expected);
+    CHECK(ErrorOf(good_settings + line).Reason() == expected);
   }
 }
 
@@ -111,7 +111,7 @@
 // Guards against bytes that end the process without a typed error.
 TEST_CASE("Settings_MutatedFile_ThrowsSettingsErrorOnly") {
   const bool held = rc::check("mutated settings", [] {
-    std::string text = kGood;
+    std::string text = good_settings;
     const int edits = *rc::gen::inRange(1, 6);
     for (int i = 0; i < edits; ++i) {
       const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
--- a/packages/wire/tests/caller_codec_test.cpp
+++ b/packages/wire/tests/caller_codec_test.cpp
@@ -22,13 +22,13 @@
   return "accepted";
 }
 
-const std::string kGoodQuery =
+const std::string good_query =
     R"({"request_id":"r1","customer":"c","kind":"k","deadline_ms":250,)"
     R"("seen_revision":"18446744073709551615","payload":"hé\u0000\n"})";
 
 // Guards against members that are read into the wrong field or cut at a NUL.
 TEST_CASE("CallerCodec_WholeQuery_FillsEveryField") {
-  const auto request = ReadQueryRequest(kGoodQuery);
+  const auto request = ReadQueryRequest(good_query);
   CHECK(request.request_id == "r1");
   CHECK(request.customer == "c");
   CHECK(request.kind == "k");
@@ -84,8 +84,8 @@
       "null",
       "[]",
       "{\"request_id\":\"\xFF\xFE\"}",
-      kGoodQuery + " x",
-      kGoodQuery.substr(0, kGoodQuery.size() - 1),
+      good_query + " x",
+      good_query.substr(0, good_query.size() - 1),
       std::string(kCallerBodyLimit + 1, ' '),
       std::string(kCallerBodyLimit, '['),
   };
@@ -96,13 +96,14 @@
 
 // Guards against answers whose bytes are lost because JSON is text.
 TEST_CASE("JsonWriter_PayloadOfAnyBytes_SurvivesRoundTrip") {
-  const bool held = rc::check("payload round trip", [](std::string bytes) {
-    json_writer out;
-    const auto text = out.Payload(bytes).Finish();
-    const auto read =
-        json_object::Parse(text, {"payload", "payload_base64"}, text.size());
-    RC_ASSERT(read.Payload(bytes.size()) == bytes);
-  });
+  const bool held =
+      rc::check("payload round trip", [](const std::string& bytes) {
+        json_writer out;
+        const auto text = out.Payload(bytes).Finish();
+        const auto read = json_object::Parse(
+            text, {"payload", "payload_base64"}, text.size());
+        RC_ASSERT(read.Payload(bytes.size()) == bytes);
+      });
   CHECK(held);
 }
 
@@ -117,7 +118,7 @@
 // Guards against any mutation of a good request that escapes as another type.
 TEST_CASE("CallerCodec_MutatedQuery_ThrowsWireErrorOnly") {
   const bool held = rc::check("mutated query", [] {
-    std::string text = kGoodQuery;
+    std::string text = good_query;
     const int edits = *rc::gen::inRange(1, 6);
     for (int i = 0; i < edits; ++i) {
       const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
--- a/tests/process/host_test.cpp
+++ b/tests/process/host_test.cpp
@@ -153,13 +153,14 @@
   for (const std::string fault : faults) {
     INFO(fault);
     const auto port = "port=" + std::to_string(fleet.LeafPort(0));
-    fleet.LeafControl("/standin/set", port + "&" + fault + "=20");
+    auto set = port;
+    set += "&" + fault;
+    fleet.LeafControl("/standin/set", set + "=20");
     for (int i = 0; i < 12; ++i) {
       const auto id = fault + std::to_string(i);
       CheckAnswer(fleet.PostUntilTaken(i % 2, "/v1/query", QueryBody(id)), id);
     }
-    fleet.LeafControl("/standin/set",
-                      port + "&" + fault + (fault == "slow" ? "=1" : "=0"));
+    fleet.LeafControl("/standin/set", set + (fault == "slow" ? "=1" : "=0"));
   }
 }
 
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::chrono::seconds kLongestWait{60};
 
-const std::string kContract = R"(format = 1
+const std::string contract_text = R"(format = 1
 customer = "acme"
 
 [answer]
@@ -106,12 +106,12 @@
   }
   directory_.Write("documents/hosts.json", "{\"hosts\":[" + hosts + "]}");
   directory_.Write("documents/contracts/head", "format = 1\nrevision = 1\n");
-  directory_.Write("documents/contracts/acme/1", kContract);
+  directory_.Write("documents/contracts/acme/1", contract_text);
   directory_.Write("documents/contracts/set/1",
                    "format = 1\nrevision = 1\nseats = [" + seats +
                        "]\n[[customer]]\nname = \"acme\"\nrevision = 1\n"
                        "digest = " +
-                       Quoted(FormatDigest(DigestOf(kContract))) + "\n");
+                       Quoted(FormatDigest(DigestOf(contract_text))) + "\n");
   std::string topology =
       "format = 1\nversion = 1\nkey_space = 1000\n[[collection]]\n"
       "name = \"index\"\nslots = 2\nconnections = 20\n";
--- a/tests/standin/standin_leaf.cpp
+++ b/tests/standin/standin_leaf.cpp
@@ -67,7 +67,8 @@
       settings.slots = static_cast<std::uint32_t>(options.slots);
       settings.queue = static_cast<std::uint32_t>(options.queue);
       settings.service_us = static_cast<std::uint32_t>(options.service_us);
-      settings.seed = static_cast<std::uint64_t>(options.seed + i);
+      settings.seed = static_cast<std::uint64_t>(options.seed) +
+                      static_cast<std::uint64_t>(i);
       settings.snapshots = {static_cast<std::uint64_t>(options.snapshot)};
       leafs_[static_cast<std::uint16_t>(options.first_port + i)] =
           std::make_unique<leaf_model>(settings);
