--- a/packages/node/caller_routes.cpp
+++ b/packages/node/caller_routes.cpp
@@ -48,7 +48,7 @@
   handler handle;           ///< Answers it.
 };
 
-const caller_routes::route caller_routes::routes_[] = {
+const caller_routes::route caller_routes::routes[] = {
     {"POST", "/v1/query", &caller_routes::Query},
     {"POST", "/v1/orders", &caller_routes::Order},
     {"POST", "/v1/order-ids", &caller_routes::OrderIds},
@@ -83,7 +83,7 @@
 
 caller_reply caller_routes::Handle(const caller_request& request) {
   bool known_path = false;
-  for (const auto& one : routes_) {
+  for (const auto& one : routes) {
     const bool prefix = one.path.back() == '/';
     if (prefix ? !request.path.starts_with(one.path)
                : request.path != one.path) {
--- a/packages/node/caller_routes.h
+++ b/packages/node/caller_routes.h
@@ -43,7 +43,7 @@
  private:
   using handler = caller_reply (caller_routes::*)(const caller_request&);
   struct route;
-  static const route routes_[];
+  static const route routes[];
 
   caller_reply Query(const caller_request& request);
   caller_reply Order(const caller_request& request);
