Test slow requests in a flood and raise the floor margin to 15%

Cause: no test failed when a leaf with one slow request got no other work, or when an urgent request could not be hedged in a flood.

The margin is 15%.

--- a/packages/core/leaf_queue.cpp
+++ b/packages/core/leaf_queue.cpp
@@ -12,9 +12,9 @@
 
 /** Credit per floor. Credit accrues with charged slot time only, while a floor
  *  is a share of the capacity: hedges, retries and the time between a reply and
- *  the next request are not charged. With 1.08, a rank in an urgent flood got
- *  0.971 of its floor on the worst of 5 seeds; with 1.12, 1.03. */
-constexpr double kFloorMargin = 1.12;
+ *  the next request are not charged. With 1.12, a rank in an urgent flood got
+ *  0.995 of its floor on the worst of 5 seeds; with 1.15, 1.034. */
+constexpr double kFloorMargin = 1.15;
 
 /** Credit kept at most, in requests, so that a rank whose work cannot be
  *  placed for a while does not lock out the others afterwards. */
--- a/packages/core/tests/service_owner_fault_test.cpp
+++ b/packages/core/tests/service_owner_fault_test.cpp
@@ -1,6 +1,9 @@
 /** @file service_owner_fault_test.cpp Tests of failing and leaving leafs. */
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
 
 #include "core/leaf_health.h"
 #include "owner_fixture.h"
@@ -15,6 +18,69 @@
   return script;
 }
 
+/** Lets 1 in `one_in` requests of a rank take much longer than the others. */
+void SetRareDelay(owner_fixture& bench, rank urgency, std::uint64_t one_in) {
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    bench.At(0, i).behave = [&bench, urgency,
+                             one_in](const leaf_request& sent) {
+      const auto spread = static_cast<duration::rep>(bench.random.Below(4000));
+      leaf_script script;
+      script.latency = milliseconds(8) + duration(spread);
+      if (sent.urgency == urgency && bench.random.Below(one_in) == 0) {
+        script.latency = milliseconds(200);
+      }
+      return script;
+    };
+  }
+}
+
+// Guards against urgent requests that lose their hedges in a flood, because
+// queued background work takes every slot that becomes free.
+TEST_CASE("ServiceOwner_UrgentDelayedInFlood_HedgeTakesNextFreeSlot") {
+  owner_fixture bench;
+  SetRareDelay(bench, rank::urgent, 10);
+  for (int step = 0; step < 500; ++step) {
+    for (int i = 0; i < 20; ++i)
+      bench.Query(milliseconds(500), rank::background);
+    bench.Query(milliseconds(500), rank::urgent);
+    bench.RunFor(milliseconds(20));
+  }
+  bench.RunFor(milliseconds(1000));
+  std::vector<duration> urgent;
+  auto latency = bench.latencies.begin();
+  for (const auto& [query, part] : bench.results) {
+    if (part.status != part_status::ok) continue;
+    if (bench.rank_of.at(query) == rank::urgent) urgent.push_back(*latency);
+    ++latency;
+  }
+  REQUIRE(urgent.size() == 500);
+  std::sort(urgent.begin(), urgent.end());
+  CHECK(urgent[490] <= milliseconds(60));
+  CHECK(bench.owner.Counters().hedges * 20 <= bench.LeafRequests());
+}
+
+// Guards against idle slots of a leaf that runs one slow request while it
+// answers the others at the usual speed.
+TEST_CASE("ServiceOwner_OneSlowRequest_KeepsOtherSlotsBusy") {
+  owner_settings settings;
+  settings.extra_load = 0;
+  owner_fixture bench(1, 3, settings);
+  bench.SetLatency(milliseconds(8), milliseconds(4));
+  bench.Load(300, milliseconds(4));
+  bool slow = true;
+  bench.At(0, 0).behave = [&](const leaf_request&) {
+    leaf_script script;
+    if (std::exchange(slow, false)) script.latency = milliseconds(500);
+    return script;
+  };
+  for (int i = 0; i < 500; ++i) bench.Query(milliseconds(2000));
+  bench.RunFor(milliseconds(50));
+  const std::uint64_t before = bench.At(0, 0).requests;
+  bench.RunFor(milliseconds(400));
+  // The other slot of the leaf serves 40 requests of 10 ms.
+  CHECK(bench.At(0, 0).requests - before >= 38);
+}
+
 // Guards against lost coverage while a replica is left.
 TEST_CASE("ServiceOwner_DeadReplica_RetriesOnAnother") {
   owner_fixture bench;
