--- a/packages/core/query_gather.cpp
+++ b/packages/core/query_gather.cpp
@@ -38,6 +38,7 @@
 void query_gather::SetTopology(std::shared_ptr<const topology> value,
                                time_point /*now*/) {
   plans_.clear();
+  choice_.SetTopology(value);
   topology_ = std::move(value);
 }
 
@@ -91,17 +92,14 @@
   return result;
 }
 
-/** Plan over the newest complete map; made once per change of the owners. */
-const query_gather::plan* query_gather::PlanFor(collection_id collection,
+/** Plan over a map of the present topology; made once per change of the owners.
+ */
+const query_gather::plan* query_gather::PlanFor(const partition_map* map,
                                                 const ownership& owners) {
-  const auto known = plans_.find(collection);
+  if (map == nullptr) return nullptr;
+  const auto known = plans_.find(map);
   if (known != plans_.end()) return &known->second;
-  const auto& maps = topology_->collections[Raw(collection)].maps;
-  for (auto map = maps.rbegin(); map != maps.rend(); ++map) {
-    if (!IsComplete(*map)) continue;
-    return &plans_.emplace(collection, MakePlan(*map, owners)).first->second;
-  }
-  return nullptr;
+  return &plans_.emplace(map, MakePlan(*map, owners)).first->second;
 }
 
 void query_gather::Start(call_id call, const query_request& request,
@@ -109,7 +107,8 @@
                          const ownership& owners, admission& load,
                          time_point now, effect_list& effects) {
   const auto collection = FindCollection(ticket.work->collection);
-  const plan* plan = collection ? PlanFor(*collection, owners) : nullptr;
+  const plan* plan =
+      collection ? PlanFor(choice_.Best(*collection, now), owners) : nullptr;
   if (plan == nullptr) {
     effects.push_back(refuse_effect{
         call,
@@ -179,9 +178,11 @@
                                     const subquery_result& body,
                                     admission& load, const ownership& owners,
                                     time_point now, effect_list& effects) {
-  // The load signal is fresh whether or not the query still waits.
+  // The load and the snapshots of a service are fresh whether or not the query
+  // still waits.
   for (const part_result& part : body.parts) {
     load.OnServiceWait(part.service, part.wait, now);
+    choice_.OnResult(part, body.snapshot, now);
   }
   const auto it = queries_.find(body.query);
   if (it == queries_.end()) {
@@ -226,8 +227,9 @@
     return;
   }
   slot.state = part_state::failed;
-  if (part.status == part_status::wrong_snapshot) {
-    ++query.wrong_snapshot;
+  if (part.status == part_status::wrong_snapshot ||
+      part.status == part_status::unknown_part) {
+    ++query.lacking;
     query.newest = std::max(query.newest, part.newest);
   }
 }
@@ -245,33 +247,35 @@
   }
 }
 
-/** Whether to plan the query once more, on a newer snapshot. */
-bool query_gather::MayReplan(const open_query& query, time_point now) const {
-  if (query.wrong_snapshot == 0 || query.former) return false;
-  if (Raw(query.collection) >= topology_->collections.size()) return false;
+/**
+ * Map to plan the query on once more, or nullptr when it stays on its snapshot.
+ * A query moves at most once, so that two snapshots that are each lacked
+ * somewhere do not pass it back and forth until its deadline.
+ */
+const partition_map* query_gather::OtherMap(const open_query& query,
+                                            time_point now) const {
+  if (query.lacking == 0 || query.former) return nullptr;
   const auto needed = duration(static_cast<duration::rep>(typical_part_us_));
-  if (query.ticket.deadline - now < needed) return false;
-  const auto& maps = topology_->collections[Raw(query.collection)].maps;
-  return std::any_of(maps.begin(), maps.end(), [&](const partition_map& map) {
-    return map.snapshot > query.pinned.map->snapshot && IsComplete(map);
-  });
+  if (query.ticket.deadline - now < needed) return nullptr;
+  return choice_.Better(query.collection, query.pinned.map->snapshot, now);
 }
 
 /**
- * Whether a leaf named a newer snapshot that this host has no map of yet. The
- * map usually arrives soon; half of the time is left for the new plan.
+ * Whether a leaf named a newer snapshot that this host has no map of yet, or
+ * that more services still lack. That usually changes soon; half of the time is
+ * left for the new plan.
  */
 bool query_gather::AwaitsTopology(const open_query& query,
                                   time_point now) const {
-  return query.wrong_snapshot > 0 && !query.former &&
+  return query.lacking > 0 && !query.former &&
          query.newest > query.pinned.map->snapshot &&
          now - query.started < query.ticket.deadline - now;
 }
 
 /** Plans a query anew under a new identifier, so that no old part matches. */
 query_gather::query_table::iterator query_gather::Replan(
-    query_table::iterator it, const ownership& owners, time_point now,
-    effect_list& effects) {
+    query_table::iterator it, const partition_map& map, const ownership& owners,
+    time_point now, effect_list& effects) {
   Cancel(it->first, it->second, effects);
   ++counters_.replanned;
   wakes_.erase({it->second.wake, it->first});
@@ -283,18 +287,18 @@
   calls_[query.call] = id;
   query.former = std::exchange(query.pinned, {});
   query.asked.clear();
-  query.wrong_snapshot = 0;
+  query.lacking = 0;
   query.wake = {};
-  Send(id, query, *PlanFor(query.collection, owners), now, effects);
+  Send(id, query, *PlanFor(&map, owners), now, effects);
   return moved;
 }
 
 void query_gather::Evaluate(query_table::iterator it, const ownership* owners,
                             admission& load, time_point now,
                             effect_list& effects) {
-  if (owners != nullptr && MayReplan(it->second, now)) {
-    it = Replan(it, *owners, now, effects);
-  }
+  const partition_map* other =
+      owners == nullptr ? nullptr : OtherMap(it->second, now);
+  if (other != nullptr) it = Replan(it, *other, *owners, now, effects);
   open_query& query = it->second;
   if (query.pinned.open == 0 && !AwaitsTopology(query, now)) {
     Answer(it, false, load, now, effects);
--- a/packages/core/query_gather.h
+++ b/packages/core/query_gather.h
@@ -20,6 +20,7 @@
 #include "core/index_type.h"
 #include "core/member_type.h"
 #include "core/ownership.h"
+#include "core/snapshot_choice.h"
 
 namespace corianderrail {
 
@@ -29,7 +30,7 @@
   std::uint64_t complete = 0;    ///< Answers with all parts.
   std::uint64_t partial = 0;     ///< Answers above the least coverage.
   std::uint64_t incomplete = 0;  ///< Answers below it.
-  std::uint64_t replanned = 0;   ///< Moved to a newer snapshot.
+  std::uint64_t replanned = 0;   ///< Moved to another snapshot.
   std::uint64_t resent = 0;      ///< Parts sent again to a new owner.
   std::uint64_t stray = 0;       ///< Results that matched no open part.
 };
@@ -108,25 +109,25 @@
 
   /** One open query. */
   struct open_query {
-    call_id call{};                    ///< Caller's call.
-    std::string request_id;            ///< Echo.
-    std::string payload;               ///< Query text, for later batches.
-    admission_ticket ticket;           ///< As admitted.
-    collection_id collection{};        ///< Collection queried.
-    time_point started{};              ///< Arrival.
-    time_point planned{};              ///< When the present plan was sent.
-    gathering pinned;                  ///< Present snapshot.
-    std::optional<gathering> former;   ///< Snapshot before a new plan.
-    std::vector<host_ref> asked;       ///< Owners and lives sent a batch.
-    std::uint32_t wrong_snapshot = 0;  ///< Parts that lack the snapshot.
-    snapshot_id newest{};              ///< Newest snapshot reported.
-    time_point wake{};                 ///< Entry in wakes_.
+    call_id call{};                   ///< Caller's call.
+    std::string request_id;           ///< Echo.
+    std::string payload;              ///< Query text, for later batches.
+    admission_ticket ticket;          ///< As admitted.
+    collection_id collection{};       ///< Collection queried.
+    time_point started{};             ///< Arrival.
+    time_point planned{};             ///< When the present plan was sent.
+    gathering pinned;                 ///< Present snapshot.
+    std::optional<gathering> former;  ///< What the first plan gathered.
+    std::vector<host_ref> asked;      ///< Owners and lives sent a batch.
+    std::uint32_t lacking = 0;        ///< Parts that lack the snapshot.
+    snapshot_id newest{};             ///< Newest snapshot reported.
+    time_point wake{};                ///< Entry in wakes_.
   };
 
   using query_table = std::unordered_map<query_id, open_query>;
 
   std::optional<collection_id> FindCollection(std::string_view name) const;
-  const plan* PlanFor(collection_id collection, const ownership& owners);
+  const plan* PlanFor(const partition_map* map, const ownership& owners);
   plan MakePlan(const partition_map& map, const ownership& owners) const;
   void Send(query_id id, open_query& query, const plan& plan, time_point now,
             effect_list& effects);
@@ -135,9 +136,10 @@
                  effect_list& effects);
   void TakePart(open_query& query, host_ref from, const part_result& part,
                 snapshot_id snapshot);
-  bool MayReplan(const open_query& query, time_point now) const;
+  const partition_map* OtherMap(const open_query& query, time_point now) const;
   bool AwaitsTopology(const open_query& query, time_point now) const;
   query_table::iterator Replan(query_table::iterator it,
+                               const partition_map& map,
                                const ownership& owners, time_point now,
                                effect_list& effects);
   bool IsLost(host_ref owner) const;
@@ -159,7 +161,9 @@
   host_ref self_;
   std::shared_ptr<const topology> topology_;
   std::unordered_map<host_id, member_record> members_;
-  std::unordered_map<collection_id, plan> plans_;  ///< Under present owners.
+  snapshot_choice choice_;
+  /// Under the present owners.
+  std::unordered_map<const partition_map*, plan> plans_;
   query_table queries_;
   std::unordered_map<call_id, query_id> calls_;
   std::set<std::pair<time_point, query_id>> wakes_;
--- a/packages/core/tests/query_gather_test.cpp
+++ b/packages/core/tests/query_gather_test.cpp
@@ -8,7 +8,7 @@
 #include <set>
 
 #include "core/coverage.h"
-#include "entry_fixture.h"
+#include "gather_fixture.h"
 #include "property.h"
 
 namespace corianderrail {
@@ -16,72 +16,6 @@
 
 using std::chrono::milliseconds;
 
-struct query_gather_fixture : entry_fixture {
-  explicit query_gather_fixture(std::size_t services = 4)
-      : entry_fixture(services) {
-    gather.SetTopology(map, now);
-    gather.SetMembers(members);
-  }
-
-  void Start(std::uint64_t call = 1, std::string_view customer = "acme") {
-    RefreshShares();
-    query_request request;
-    request.request_id = "r" + std::to_string(call);
-    request.customer = customer;
-    request.kind = "search";
-    request.payload = "text";
-    const auto ticket = gate.Admit(customer, "search", work_type::query, {}, {},
-                                   std::nullopt, shares, now, refused, effects);
-    REQUIRE(ticket);
-    gather.Start(call_id{call}, request, *ticket, owners, gate, now, effects);
-  }
-
-  /** Results of all parts of a batch, with a payload named after the part. */
-  static subquery_result ResultOf(const subquery_batch& batch,
-                                  part_status status = part_status::ok) {
-    subquery_result result{batch.query, batch.snapshot, {}};
-    for (const subquery_part& part : batch.parts) {
-      part_result each;
-      each.partition = part.partition;
-      each.service = part.service;
-      each.status = status;
-      each.newest = batch.snapshot;
-      each.payload = PayloadOf(batch.snapshot, part.partition);
-      result.parts.push_back(std::move(each));
-    }
-    return result;
-  }
-
-  static std::string PayloadOf(snapshot_id snapshot, partition_id partition) {
-    return std::to_string(Raw(snapshot)) + "/" + std::to_string(Raw(partition));
-  }
-
-  void Deliver(const send_peer_effect& send, const subquery_result& result) {
-    gather.OnSubqueryResult(From({send.to, send.to_incarnation}), result, gate,
-                            owners, now, effects);
-  }
-
-  /** Answers every batch sent so far except those to `but`. */
-  void AnswerAllBut(host_id but = {}) {
-    for (const auto& [send, batch] : Sent<subquery_batch>()) {
-      if (send.to != but) Deliver(send, ResultOf(batch));
-    }
-  }
-
-  query_answer OnlyAnswer() const {
-    const auto answers = Collect<answer_query_effect>();
-    REQUIRE(answers.size() == 1);
-    return answers[0].answer;
-  }
-
-  void Tick(duration later) {
-    now += later;
-    gather.OnTick(owners, gate, now, effects);
-  }
-
-  query_gather gather{{host_id{1}, incarnation_id{101}}, 1};
-};
-
 // Guards against one message per part, a lost part, and a message that an
 // earlier life of an owner would take.
 TEST_CASE_METHOD(query_gather_fixture,
