Avoid a captured structured binding in a test

Cause: clang-tidy's parser rejects a structured binding that a nested lambda captures. Change: a named reference.

--- a/packages/core/tests/snapshot_choice_test.cpp
+++ b/packages/core/tests/snapshot_choice_test.cpp
@@ -364,8 +364,9 @@
     const auto answers = f.Collect<answer_query_effect>();
     const auto sent = f.Sent<subquery_batch>();
     RC_ASSERT(answers.size() == f.calls);
-    for (const auto& [call, answer] : answers) {
-      const std::string text = "text " + std::to_string(Raw(call));
+    for (const auto& each : answers) {
+      const query_answer& answer = each.answer;
+      const std::string text = "text " + std::to_string(Raw(each.call));
       std::map<query_id, snapshot_id> plans;
       for (const auto& [send, batch] : sent) {
         if (batch.payload == text) plans[batch.query] = batch.snapshot;
