Make readiness include the usable share of a host's seat

Change: lifecycle_inputs::shares, fed by limit_share::Usable(), is needed to become ready. It does not end readiness. A host without a seat is ready at once, so that it can own services, and is named in address answers only while no host with a seat is ready (EntryMembers).

Result: in the driver, the caller of Tier_FreshFleet_NamesOnlyHostsThatAdmit gets an answer to every query at every named host, and a caller that follows the addresses through the replacement of all four hosts sees no refusal and no lost query.

--- a/packages/core/address_book.cpp
+++ b/packages/core/address_book.cpp
@@ -73,8 +73,29 @@
   if (other > last) std::iter_swap(other, last);
 }
 
+/** Whether an address answer may name the member. */
+bool MayBeNamed(const member_record& member) {
+  if (!member.ready || member.caller_address.empty()) return false;
+  return member.state == member_state::alive ||
+         member.state == member_state::suspect;
+}
+
 }  // namespace
 
+std::vector<member_record> EntryMembers(
+    std::vector<member_record> members,
+    const std::function<bool(host_id)>& holds_seat) {
+  const bool any = std::any_of(
+      members.begin(), members.end(), [&](const member_record& member) {
+        return MayBeNamed(member) && holds_seat(member.ref.host);
+      });
+  if (!any) return members;
+  std::erase_if(members, [&](const member_record& member) {
+    return !holds_seat(member.ref.host);
+  });
+  return members;
+}
+
 std::vector<entry_address> ChooseAddresses(
     std::span<const member_record> members, std::string_view customer,
     std::string_view zone, const address_settings& settings) {
--- a/packages/core/address_book.h
+++ b/packages/core/address_book.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <functional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,15 @@
   std::uint32_t addresses = 3;  ///< Most per answer.
 };
 
+/**
+ * Drops members without a seat, which have no share of any limit and refuse
+ * every caller. While no ready member holds a seat, all members are kept, so
+ * that a caller still gets an address to ask again.
+ */
+std::vector<member_record> EntryMembers(
+    std::vector<member_record> members,
+    const std::function<bool(host_id)>& holds_seat);
+
 /**
  * Picks live, ready hosts for a customer: near the caller's zone first,
  * a stable few by weighted rendezvous hashing on the customer.
--- a/packages/core/host_reducer.cpp
+++ b/packages/core/host_reducer.cpp
@@ -256,10 +256,12 @@
             orders.OnStatus(event, Revision(), now, effects);
           },
           [&](const caller_address_event& event) {
-            const auto all = members.Members();
+            const auto entries = EntryMembers(
+                members.Members(),
+                [this](host_id host) { return shares.IsSeat(host); });
             effects.push_back(answer_addresses_effect{
                 event.call,
-                ChooseAddresses(all, event.customer, event.zone,
+                ChooseAddresses(entries, event.customer, event.zone,
                                 settings.address),
                 settings.address.time_to_live, Revision()});
           },
@@ -338,6 +340,7 @@
   inputs.members = members.Confirmed();
   inputs.reads_done = reader.FirstReadDone();
   inputs.format_ok = !contracts.FormatTooOld();
+  inputs.shares = shares.Usable(now);
   inputs.idle = gather.Idle() && orders.Idle() && scheduler.Idle();
   if (!life.Update(inputs, now, effects)) return;
   members.SetReady(life.Phase() == host_phase::ready && inputs.format_ok);
--- a/packages/core/lifecycle.cpp
+++ b/packages/core/lifecycle.cpp
@@ -37,7 +37,7 @@
 bool lifecycle::Update(const lifecycle_inputs& inputs, time_point now,
                        effect_list& effects) {
   const bool confirmed = inputs.contracts && inputs.topology &&
-                         inputs.members && inputs.reads_done;
+                         inputs.members && inputs.reads_done && inputs.shares;
   if (phase_ == host_phase::starting && confirmed && inputs.format_ok) {
     phase_ = host_phase::ready;
     served_ = true;
--- a/packages/core/lifecycle.h
+++ b/packages/core/lifecycle.h
@@ -24,6 +24,7 @@
   bool members = false;     ///< Membership is confirmed.
   bool reads_done = false;  ///< Peers or the platform were asked.
   bool format_ok = true;    ///< Reads the newest document format.
+  bool shares = false;      ///< The share of this host's seat is usable.
   bool idle = false;        ///< No work is open.
 };
 
--- a/packages/core/limit_share.cpp
+++ b/packages/core/limit_share.cpp
@@ -115,6 +115,7 @@
   // The first set counts as a change: the predecessor at this address may have
   // lent its share just before this host started.
   const time_point settle = seats_changed ? now + hold_ : now;
+  if (seats_changed) settle_ = settle;
   std::map<std::string, kind_map, std::less<>> before;
   std::swap(before, customers_);
   for (const auto& [name, contract] : set->customers) {
@@ -337,6 +338,12 @@
   last_tick_ = now;
 }
 
+bool limit_share::Usable(time_point now) const {
+  if (!seats_.HoldsSeat()) return true;
+  const time_span& usable = seats_.Usable();
+  return now >= settle_ && usable.begin <= now && now < usable.end;
+}
+
 double limit_share::RatePerSecond(std::string_view customer,
                                   std::string_view kind, time_point now) const {
   const kind_state* state = Find(customer, kind);
--- a/packages/core/limit_share.h
+++ b/packages/core/limit_share.h
@@ -60,6 +60,14 @@
   time_point NextWake() const;
   void OnClockGap(time_point now);
 
+  /**
+   * Whether a caller sent to this host can be admitted: the share of its seat
+   * may be used now. True without a seat, as no wait changes that.
+   */
+  bool Usable(time_point now) const;
+
+  bool IsSeat(host_id host) const { return seats_.IsSeat(host); }
+
   /** Rate this host may use now, leases included. */
   double RatePerSecond(std::string_view customer, std::string_view kind,
                        time_point now) const;
@@ -110,6 +118,7 @@
   limit_share_settings settings_;
   duration hold_;  ///< Lease plus a margin for clocks that differ in rate.
   seat_table seats_;
+  time_point settle_{};  ///< When shares under the present seats take effect.
   std::shared_ptr<const contract_set> set_;
   std::map<std::string, kind_map, std::less<>> customers_;
   std::vector<member_record> members_;
--- a/packages/core/tests/lifecycle_test.cpp
+++ b/packages/core/tests/lifecycle_test.cpp
@@ -18,7 +18,7 @@
 class lifecycle_fixture {
  protected:
   lifecycle_fixture() : life({}, time_point{}) {
-    inputs = {true, true, true, true, true, false};
+    inputs = {true, true, true, true, true, true, false};
   }
 
   bool Update() { return life.Update(inputs, now, effects); }
@@ -44,7 +44,7 @@
   for (bool lifecycle_inputs::*input :
        {&lifecycle_inputs::contracts, &lifecycle_inputs::topology,
         &lifecycle_inputs::members, &lifecycle_inputs::reads_done,
-        &lifecycle_inputs::format_ok}) {
+        &lifecycle_inputs::format_ok, &lifecycle_inputs::shares}) {
     inputs.*input = false;
     CHECK_FALSE(Update());
     CHECK_FALSE(life.TakesCallers());
@@ -61,6 +61,7 @@
   Update();
   inputs.contracts = false;
   inputs.members = false;
+  inputs.shares = false;
   CHECK_FALSE(Update());
   CHECK(life.Phase() == host_phase::ready);
 }
@@ -192,6 +193,22 @@
   }
 }
 
+// Guards against answers that name hosts without a share of any limit, and
+// against an empty answer when only such hosts are ready.
+TEST_CASE_METHOD(address_fixture,
+                 "AddressBook_MembersWithoutSeat_OnlyWhenNoSeatIsReady") {
+  const auto first_two = [](host_id host) { return Raw(host) <= 2; };
+  auto entries = EntryMembers(members, first_two);
+  REQUIRE(entries.size() == 2);
+  CHECK(Raw(entries[0].ref.host) == 1);
+  CHECK(Raw(entries[1].ref.host) == 2);
+  members[0].ready = false;
+  CHECK(EntryMembers(members, first_two).size() == 2);
+  members[1].state = member_state::leaving;
+  CHECK(EntryMembers(members, first_two).size() == 6);
+  CHECK(EntryMembers(members, [](host_id) { return false; }).size() == 6);
+}
+
 // Guards against an empty answer while suspected hosts may still serve.
 TEST_CASE_METHOD(address_fixture, "AddressBook_OnlySuspects_AreNamed") {
   for (auto& one : members) one.state = member_state::suspect;
--- a/tests/driver/deployment.h
+++ b/tests/driver/deployment.h
@@ -74,6 +74,11 @@
   std::shared_ptr<const topology> Topology() const { return newest_; }
   std::shared_ptr<const contract_set> Contracts() const { return contracts_; }
 
+  /** Replaces the contract set before the first host starts. */
+  void SetContracts(std::shared_ptr<const contract_set> set) {
+    contracts_ = std::move(set);
+  }
+
   /** Topology of published bytes; null when unknown. */
   std::shared_ptr<const topology> Find(const std::string& bytes) const;
 
--- /dev/null
+++ b/tests/driver/start_test.cpp
@@ -0,0 +1,193 @@
+/** @file start_test.cpp Readiness of fresh hosts and rolling replacement. */
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "driver/deployment.h"
+#include "driver/tier_host.h"
+#include "driver/virtual_fleet.h"
+
+namespace corianderrail::driver {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Hosts of the tier and a caller that follows the address answers. */
+class start_fixture {
+ protected:
+  start_fixture()
+      : store_(SmallPlan()),
+        fleet_(store_.Plan().hosts, store_.Plan().delays,
+               TierFactory(store_, kSeed), kSeed) {
+    store_.Install(fleet_, fake_leaf_settings{}, kSeed);
+  }
+
+  static constexpr std::uint64_t kSeed = 11;
+
+  void Run(duration length) { fleet_.RunUntil(fleet_.Now() + length); }
+
+  host_view View(std::size_t host) {
+    return dynamic_cast<tier_host&>(*fleet_.Host(host)).View();
+  }
+
+  bool Ready(std::size_t host) { return View(host).phase == host_phase::ready; }
+
+  /** Runs until the host is ready. @return False after a minute. */
+  bool RunUntilReady(std::size_t host) {
+    const time_point end = fleet_.Now() + seconds(60);
+    while (!Ready(host) && fleet_.Now() < end) Run(milliseconds(50));
+    return Ready(host);
+  }
+
+  std::size_t IndexOf(const std::string& address) const {
+    const auto& hosts = store_.Plan().hosts;
+    const auto found =
+        std::find_if(hosts.begin(), hosts.end(),
+                     [&](const auto& one) { return one.address == address; });
+    return static_cast<std::size_t>(found - hosts.begin());
+  }
+
+  /** Asks a host for addresses; keeps a non-empty answer. */
+  void Ask(std::size_t host) {
+    caller_address_event ask;
+    ask.customer = CustomerOf(rank::urgent);
+    fleet_.Call(host, ask, [this](const effect* answer) {
+      if (answer == nullptr) return;
+      const auto& told = std::get<answer_addresses_effect>(*answer);
+      if (told.addresses.empty()) return;
+      named_.clear();
+      for (const auto& one : told.addresses) {
+        named_.push_back(IndexOf(one.address));
+      }
+      expires_ = fleet_.Now() + told.time_to_live;
+    });
+  }
+
+  void Query(std::size_t host) {
+    caller_query_event query;
+    query.request.request_id = "q";
+    query.request.customer = CustomerOf(rank::urgent);
+    query.request.kind = QueryKind("wide");
+    query.request.deadline = seconds(1);
+    query.request.payload = "q";
+    ++sent_;
+    fleet_.Call(host, query, [this](const effect* answer) {
+      if (answer == nullptr) {
+        ++lost_;
+        return;
+      }
+      if (const auto* refused = std::get_if<refuse_effect>(answer)) {
+        refusals_.push_back(refused->reason.detail);
+        return;
+      }
+      ++answered_;
+    });
+  }
+
+  /** Queries a named host every 20 ms; renews addresses as they expire. */
+  void StartCaller() {
+    fleet_.After(milliseconds(20), [this] {
+      // Renewed ahead, so that the answer in use never expires.
+      if (fleet_.Now() + seconds(1) > expires_) {
+        Ask(named_[sent_ % named_.size()]);
+      }
+      Query(named_[sent_ % named_.size()]);
+      StartCaller();
+    });
+  }
+
+  /** Stops a host as SIGTERM does. @return False when it does not drain. */
+  bool StopGracefully(std::size_t host) {
+    fleet_.Deliver(host, fleet_.Life(host), stop_event{});
+    const time_point end = fleet_.Now() + seconds(60);
+    while (View(host).phase != host_phase::stopped && fleet_.Now() < end) {
+      Run(milliseconds(50));
+    }
+    return View(host).phase == host_phase::stopped;
+  }
+
+  document_store store_;
+  virtual_fleet fleet_;
+  std::vector<std::size_t> named_;
+  time_point expires_{};
+  std::uint64_t sent_ = 0;
+  std::uint64_t answered_ = 0;
+  std::uint64_t lost_ = 0;
+  std::vector<std::string> refusals_;
+};
+
+// Guards against address answers that name a fresh host which still refuses
+// callers, because its share of the rate is not usable yet.
+TEST_CASE_METHOD(start_fixture, "Tier_FreshFleet_NamesOnlyHostsThatAdmit") {
+  for (std::size_t i = 0; i < fleet_.HostCount(); ++i) fleet_.StartHost(i);
+  const time_point end = fleet_.Now() + seconds(15);
+  while (fleet_.Now() < end) {
+    Run(milliseconds(50));
+    for (std::size_t i = 0; i < fleet_.HostCount(); ++i) Ask(i);
+    for (const std::size_t host : named_) Query(host);
+  }
+  Run(seconds(2));
+  CHECK(named_.size() == 3);
+  CHECK(answered_ > 100);
+  CHECK(answered_ == sent_);
+  INFO("first refusal: " << (refusals_.empty() ? "" : refusals_.front()));
+  CHECK(refusals_.empty());
+}
+
+// Guards against a replacement that waits forever for the share of a fresh
+// host, and against callers that are cut off or refused meanwhile.
+TEST_CASE_METHOD(start_fixture,
+                 "Tier_RollingReplacement_EachHostBecomesReady") {
+  for (std::size_t i = 0; i < fleet_.HostCount(); ++i) fleet_.StartHost(i);
+  for (std::size_t i = 0; i < fleet_.HostCount(); ++i) {
+    REQUIRE(RunUntilReady(i));
+  }
+  Run(seconds(2));
+  Ask(0);
+  Run(milliseconds(100));
+  REQUIRE(!named_.empty());
+  StartCaller();
+  for (std::size_t i = 0; i < fleet_.HostCount(); ++i) {
+    INFO("host " << i);
+    REQUIRE(StopGracefully(i));
+    fleet_.KillHost(i);
+    fleet_.StartHost(i);
+    REQUIRE(RunUntilReady(i));
+  }
+  const std::uint64_t sent = sent_;
+  Run(seconds(2));
+  CHECK(sent > 1000);
+  CHECK(lost_ == 0);
+  CHECK(answered_ >= sent);
+  INFO("first refusal: " << (refusals_.empty() ? "" : refusals_.front()));
+  CHECK(refusals_.empty());
+}
+
+// Guards against a host outside the seats that waits for a share which it
+// never gets: it is needed as an owner.
+TEST_CASE_METHOD(start_fixture, "Tier_HostWithoutSeat_ReadyBeforeTheSeats") {
+  auto set = std::make_shared<contract_set>(*store_.Contracts());
+  const std::string other = set->seats.back();
+  std::erase(set->seats, other);
+  store_.SetContracts(set);
+  for (std::size_t i = 0; i < fleet_.HostCount(); ++i) fleet_.StartHost(i);
+  REQUIRE(RunUntilReady(IndexOf(other)));
+  const bool seat_ready = Ready(IndexOf(set->seats.front()));
+  CHECK_FALSE(seat_ready);
+  for (std::size_t i = 0; i < fleet_.HostCount(); ++i) {
+    REQUIRE(RunUntilReady(i));
+  }
+  Run(seconds(2));
+  for (std::size_t i = 0; i < fleet_.HostCount(); ++i) {
+    Ask(i);
+    Run(milliseconds(100));
+    CHECK(named_.size() == 3);
+    CHECK(std::count(named_.begin(), named_.end(), IndexOf(other)) == 0);
+  }
+}
+
+}  // namespace
+}  // namespace corianderrail::driver
--- a/tests/process/host_test.cpp
+++ b/tests/process/host_test.cpp
@@ -196,7 +196,6 @@
 TEST_CASE("Host_Draining_ClosesConnectionsAndFinishesRequests") {
   test_fleet fleet(2);
   REQUIRE(fleet.WaitUntilReady());
-  // A fresh host uses its share of the rate only after one lease time.
   CheckAnswer(fleet.PostUntilTaken(0, "/v1/query", QueryBody("early")),
               "early");
   fleet.Host(0).Signal(SIGTERM);
