--- a/packages/core/tests/support/fleet_host.h
+++ b/packages/core/tests/support/fleet_host.h
@@ -29,6 +29,7 @@
   std::vector<std::string> seeds;   ///< Peer addresses.
   std::uint64_t seed = 1;           ///< Seed of random choices.
   fake_service* service = nullptr;  ///< Platform; may be null.
+  duration member_period{};         ///< Least time between SetMembers() calls.
 };
 
 inline member_record FleetMember(const fleet_host_settings& settings) {
@@ -179,6 +180,8 @@
       }
     }
     if (members.Generation() == member_generation_) return;
+    if (now < members_set_ + settings.member_period) return;
+    members_set_ = now;
     member_generation_ = members.Generation();
     const auto all = members.Members();
     shares.SetMembers(all, now);
@@ -219,6 +222,7 @@
   time_point last_{};
   std::uint64_t contract_generation_ = 0;
   std::uint64_t member_generation_ = 0;
+  time_point members_set_{};
 };
 
 /** A fleet of hosts that restart, pause and lose messages. */
@@ -241,6 +245,7 @@
     settings.zone = "zone" + std::to_string(index % zones);
     settings.incarnation = ++incarnation_;
     settings.seed = seed_ * 1000 + incarnation_;
+    settings.member_period = member_period;
     settings.seeds = {addresses[0], addresses[1 % addresses.size()]};
     if (with_service) settings.service = &service;
     auto& host = hosts[addresses[index]];
@@ -288,7 +293,8 @@
       make = [](const fleet_host_settings& settings, time_point now) {
         return std::make_unique<fleet_host>(settings, now);
       };
-  std::size_t zones = 3;  ///< Zones over which hosts are spread.
+  std::size_t zones = 3;     ///< Zones over which hosts are spread.
+  duration member_period{};  ///< See fleet_host_settings.
   fake_service service;
   message_net net;
   std::vector<std::string> addresses;
--- a/packages/node/metrics.cpp
+++ b/packages/node/metrics.cpp
@@ -101,6 +101,8 @@
   out.Counter("peer_messages_sent_total", from.peers.sent);
   out.Counter("peer_messages_dropped_total", from.peers.dropped);
   out.Counter("peer_messages_received_total", from.peers.received);
+  out.Counter("peer_bytes_sent_total", from.peers.bytes_sent);
+  out.Counter("peer_bytes_received_total", from.peers.bytes_received);
   out.Counter("peer_messages_refused_total", from.peers_refused);
   out.Gauge("peer_sockets", from.peers.sockets);
   out.Gauge("leaf_connections", from.leafs.open);
--- a/packages/wire/peer_transport.cpp
+++ b/packages/wire/peer_transport.cpp
@@ -59,6 +59,8 @@
   std::atomic<std::uint64_t> sent{0};
   std::atomic<std::uint64_t> dropped{0};
   std::atomic<std::uint64_t> received{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
+  std::atomic<std::uint64_t> bytes_received{0};
 };
 
 void peer_transport::state::Listen() {
@@ -83,6 +85,7 @@
   if (nng_aio_result(aio) != 0) return;
   nng_msg* message = nng_aio_get_msg(aio);
   received.fetch_add(1, std::memory_order_relaxed);
+  bytes_received.fetch_add(nng_msg_len(message), std::memory_order_relaxed);
   receive(std::string_view(static_cast<const char*>(nng_msg_body(message)),
                            nng_msg_len(message)));
   nng_msg_free(message);
@@ -138,6 +141,7 @@
     return false;
   }
   state_->sent.fetch_add(1, std::memory_order_relaxed);
+  state_->bytes_sent.fetch_add(bytes.size(), std::memory_order_relaxed);
   return true;
 }
 
@@ -150,8 +154,8 @@
 
 peer_transport_counters peer_transport::Counters() const {
   const std::lock_guard lock(state_->mutex);
-  return {state_->sent, state_->dropped, state_->received,
-          state_->peers.size()};
+  return {state_->sent,         state_->dropped,    state_->received,
+          state_->peers.size(), state_->bytes_sent, state_->bytes_received};
 }
 
 }  // namespace corianderrail
--- a/packages/wire/peer_transport.h
+++ b/packages/wire/peer_transport.h
@@ -13,10 +13,12 @@
 
 /** Counters of the transport, all rising. */
 struct peer_transport_counters {
-  std::uint64_t sent = 0;      ///< Messages queued for a peer.
-  std::uint64_t dropped = 0;   ///< Messages dropped because a queue was full.
-  std::uint64_t received = 0;  ///< Messages received.
-  std::uint64_t sockets = 0;   ///< Sockets open now.
+  std::uint64_t sent = 0;        ///< Messages queued for a peer.
+  std::uint64_t dropped = 0;     ///< Messages dropped because a queue was full.
+  std::uint64_t received = 0;    ///< Messages received.
+  std::uint64_t sockets = 0;     ///< Sockets open now.
+  std::uint64_t bytes_sent = 0;  ///< Bytes of the messages queued.
+  std::uint64_t bytes_received = 0;  ///< Bytes of the messages received.
 };
 
 /** Limits of the transport. */
--- a/packages/wire/tests/peer_transport_test.cpp
+++ b/packages/wire/tests/peer_transport_test.cpp
@@ -63,6 +63,8 @@
   REQUIRE(received.WaitFor(2));
   CHECK(received.Messages() ==
         std::vector<std::string>{std::string("a\0b", 3), "second"});
+  CHECK(sender.Counters().bytes_sent == 9);
+  CHECK(receiver.Counters().bytes_received == 9);
 }
 
 // Guards against a dead peer that blocks the event loop or fills memory.
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the benchmarks of a build directory; one JSON object a line on stdout.
 #   scripts/bench.sh BUILD [-s SCENARIO] [-n SEEDS] [-w WINDOW_MS] [-o ORDERS]
-# Without -s it runs all scenarios, and bench/fleet_bench when it was built.
+# Without -s it runs all scenarios, then bench/fleet_bench and
+# bench/process_bench.py when the binaries were built.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:?usage: scripts/bench.sh BUILD [-s SCENARIO] [-n SEEDS] [-w MS] [-o ORDERS]}
@@ -39,4 +40,5 @@
 "$bench" -s cost -n "$seeds"
 if [ -x "$build/bin/fleet_bench" ]; then
   "$build/bin/fleet_bench"
+  python3 bench/process_bench.py "$build"
 fi
