Test replacement and revisions with real processes

Change: four tests in tests/process. All 8 hosts are replaced one by one under a client that follows the address answers: no request may be cut off or fail. The configuration service is down while a fresh host joins: it gets the revision in force from its peers. The service serves an older head: no host reverts. A host is stopped with SIGSTOP while a revision is published: after SIGCONT it admits nothing under the older one for a caller that has seen the newer. test_fleet publishes revisions and restarts hosts.

--- /dev/null
+++ b/tests/process/address_client.h
@@ -0,0 +1,47 @@
+/** @file address_client.h A caller that follows the address answers. */
+
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "wire/http_client.h"
+
+namespace corianderrail {
+
+/** What the caller saw. */
+struct address_client_result {
+  std::size_t answered = 0;   ///< Requests with a 200.
+  std::size_t failed = 0;     ///< Cut off, refused or not answered.
+  std::string first_failure;  ///< Host and reply of the first of them.
+};
+
+/** Sends light load on a thread of its own from construction to Finish(). */
+class address_client {
+ public:
+  /** @param entry Address of a ready host that is asked first. */
+  explicit address_client(std::string entry);
+  ~address_client();
+  address_client(const address_client&) = delete;
+  address_client& operator=(const address_client&) = delete;
+
+  address_client_result Finish();
+
+ private:
+  void Run();
+  void Renew();
+  void SendOne();
+  void Fail(const std::string& host, const std::string& what);
+
+  std::vector<std::string> addresses_;
+  std::chrono::steady_clock::time_point expires_;
+  std::size_t sent_ = 0;
+  address_client_result result_;
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+}  // namespace corianderrail
--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "contract/digest.h"
+#include "wire/json_value.h"
 #include "wire/wire_error.h"
 
 namespace corianderrail {
@@ -93,25 +94,18 @@
       std::vector<std::string>{"--port=" + std::to_string(platform_port_),
                                "--directory=" + directory_.Path("documents")},
       directory_.Path("platform.log"));
-  for (int i = 0; i < hosts; ++i) StartHost(i);
+  for (int i = 0; i < hosts; ++i) hosts_.push_back(StartHost(i));
 }
 
 void test_fleet::WriteDocuments() {
-  std::string seats;
   std::string hosts;
   for (const auto port : peer_ports_) {
     if (!hosts.empty()) hosts += ",";
-    seats += Quoted(Address(port)) + ", ";
     hosts += "{\"address\":" + Quoted(Address(port)) + "}";
   }
   directory_.Write("documents/hosts.json", "{\"hosts\":[" + hosts + "]}");
-  directory_.Write("documents/contracts/head", "format = 1\nrevision = 1\n");
   directory_.Write("documents/contracts/acme/1", kContract);
-  directory_.Write("documents/contracts/set/1",
-                   "format = 1\nrevision = 1\nseats = [" + seats +
-                       "]\n[[customer]]\nname = \"acme\"\nrevision = 1\n"
-                       "digest = " +
-                       Quoted(FormatDigest(DigestOf(kContract))) + "\n");
+  Publish(1);
   std::string topology =
       "format = 1\nversion = 1\nkey_space = 1000\n[[collection]]\n"
       "name = \"index\"\nslots = 2\nconnections = 20\n";
@@ -125,7 +119,26 @@
   directory_.Write("documents/topology", topology);
 }
 
-void test_fleet::StartHost(int number) {
+void test_fleet::Publish(std::uint64_t revision) const {
+  std::string seats;
+  for (const auto port : peer_ports_) seats += Quoted(Address(port)) + ", ";
+  const std::string number = std::to_string(revision);
+  directory_.Write("documents/contracts/set/" + number,
+                   "format = 1\nrevision = " + number + "\nseats = [" + seats +
+                       "]\n[[customer]]\nname = \"acme\"\nrevision = 1\n"
+                       "digest = " +
+                       Quoted(FormatDigest(DigestOf(kContract))) + "\n");
+  PublishHead(revision);
+}
+
+void test_fleet::PublishHead(std::uint64_t revision) const {
+  directory_.Write("documents/contracts/head",
+                   "format = 1\nrevision = " + std::to_string(revision) + "\n");
+}
+
+void test_fleet::RestartHost(int host) { hosts_[host] = StartHost(host); }
+
+std::unique_ptr<child_process> test_fleet::StartHost(int number) const {
   const std::string name = "host" + std::to_string(number);
   const auto path = directory_.Write(
       name + ".toml",
@@ -137,9 +150,9 @@
           Quoted(Address(peer_ports_[0])) +
           "]\n[timing]\nlease_ms = 500\ntime_to_live_ms = 500\n"
           "drain_ms = 2000\n");
-  hosts_.push_back(std::make_unique<child_process>(
+  return std::make_unique<child_process>(
       "corianderrail", std::vector<std::string>{"--settings=" + path},
-      directory_.Path(name + ".log")));
+      directory_.Path(name + ".log"));
 }
 
 bool test_fleet::WaitUntilReady() {
@@ -165,6 +178,62 @@
   });
 }
 
+bool test_fleet::IsReady(int host) const {
+  try {
+    return Get(host, "/readyz").code == 200;
+  } catch (const wire_error&) {
+    return false;
+  }
+}
+
+std::uint64_t test_fleet::Revision(int host) const {
+  try {
+    const auto body = Get(host, "/v1/status").body;
+    const std::string name = "\"revision\":";
+    const auto at = body.find(name);
+    return at == std::string::npos ? 0
+                                   : std::stoull(body.substr(at + name.size()));
+  } catch (const wire_error&) {
+    return 0;
+  }
+}
+
+bool test_fleet::WaitUntilRevision(std::uint64_t revision) const {
+  return Eventually([&] {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if (Revision(static_cast<int>(i)) != revision) return false;
+    }
+    return true;
+  });
+}
+
+http_reply test_fleet::Query(int host, std::uint64_t seen_revision) const {
+  return Post(host, "/v1/query",
+              R"({"request_id":"r","customer":"acme","kind":"search",)"
+              R"("deadline_ms":15000,"payload":"q","seen_revision":)" +
+                  std::to_string(seen_revision) + "}");
+}
+
+std::uint64_t test_fleet::AnswerRevision(const http_reply& reply) {
+  return json_object::Parse(reply.body,
+                            {"request_id", "status", "snapshot", "coverage_ppm",
+                             "missing", "parts", "revision", "elapsed_us"})
+      .Unsigned("revision", 1000);
+}
+
+std::string test_fleet::CallerAddress(int host) const {
+  return Address(caller_ports_[host]);
+}
+
+void test_fleet::PlatformControl(const std::string& parameters) const {
+  http_connection connection(Address(platform_port_));
+  http_request request;
+  request.path = "/standin/set";
+  request.parameters = parameters;
+  request.timeout = kLongestWait;
+  connection.Execute(request);
+}
+
 http_reply test_fleet::Get(int host, const std::string& path) const {
   http_connection connection(Address(caller_ports_[host]));
   http_request request;
--- a/tests/process/test_fleet.h
+++ b/tests/process/test_fleet.h
@@ -20,6 +20,29 @@
   /** Waits until every host is ready and sees all others ready. */
   bool WaitUntilReady();
 
+  /** Starts a host again whose process has ended. */
+  void RestartHost(int host);
+
+  bool IsReady(int host) const;
+
+  /** Revision in force at a host; 0 when it does not answer. */
+  std::uint64_t Revision(int host) const;
+  bool WaitUntilRevision(std::uint64_t revision) const;
+
+  /** Publishes a set with the same contract and then its head. */
+  void Publish(std::uint64_t revision) const;
+  void PublishHead(std::uint64_t revision) const;
+
+  /** Sets switches of the platform. */
+  void PlatformControl(const std::string& parameters) const;
+
+  /** Sends a query of a caller that has seen a revision. */
+  http_reply Query(int host, std::uint64_t seen_revision) const;
+
+  /** Revision that an answer to a query states. */
+  static std::uint64_t AnswerRevision(const http_reply& reply);
+
+  std::string CallerAddress(int host) const;
   std::uint16_t CallerPort(int host) const { return caller_ports_[host]; }
   child_process& Host(int host) { return *hosts_[host]; }
   const temporary_directory& Directory() const { return directory_; }
@@ -43,7 +66,7 @@
 
  private:
   void WriteDocuments();
-  void StartHost(int number);
+  std::unique_ptr<child_process> StartHost(int number) const;
 
   temporary_directory directory_;
   std::uint16_t first_leaf_ = 0;
