--- a/tests/process/test_fleet.cpp
+++ b/tests/process/test_fleet.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::chrono::seconds kLongestWait{60};
 
-const std::string kContract = R"(format = 1
+const std::string contract_text = R"(format = 1
 customer = "acme"
 
 [answer]
@@ -54,14 +54,6 @@
 
 std::string Quoted(const std::string& text) { return '"' + text + '"'; }
 
-/** A block of consecutive free ports for the leafs. */
-std::uint16_t FreeBlock(int count) {
-  for (;;) {
-    const std::uint16_t first = FreePort();
-    if (first < 60'000 && first + count < 65'000) return first;
-  }
-}
-
 }  // namespace
 
 bool Eventually(const std::function<bool()>& condition) {
@@ -74,7 +66,7 @@
 }
 
 test_fleet::test_fleet(int hosts)
-    : first_leaf_(FreeBlock(kLeafs)),
+    : first_leaf_(FreePorts(kLeafs)),
       control_port_(FreePort()),
       platform_port_(FreePort()) {
   for (int i = 0; i < hosts; ++i) {
@@ -104,7 +96,7 @@
     hosts += "{\"address\":" + Quoted(Address(port)) + "}";
   }
   directory_.Write("documents/hosts.json", "{\"hosts\":[" + hosts + "]}");
-  directory_.Write("documents/contracts/acme/1", kContract);
+  directory_.Write("documents/contracts/acme/1", contract_text);
   Publish(1);
   std::string topology =
       "format = 1\nversion = 1\nkey_space = 1000\n[[collection]]\n"
@@ -127,7 +119,7 @@
                    "format = 1\nrevision = " + number + "\nseats = [" + seats +
                        "]\n[[customer]]\nname = \"acme\"\nrevision = 1\n"
                        "digest = " +
-                       Quoted(FormatDigest(DigestOf(kContract))) + "\n");
+                       Quoted(FormatDigest(DigestOf(contract_text))) + "\n");
   PublishHead(revision);
 }
 
