--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -86,7 +86,7 @@
 // While a large fleet starts, each of n hosts learns of n joins, and passing
 // the table to the other topics after each one costs n * n * n copies. Joins of
 // this time are passed together; spread does not depend on it.
-constexpr duration kMemberPeriod = milliseconds(500);
+constexpr duration kMemberPeriod = seconds(2);
 
 /** A revision that one host reads, and a flag that one member sets. */
 void MeasureSpread(std::size_t members, std::uint64_t seeds) {
