Measure queries to one host over real sockets

Cause: the cost of the whole path was not measured. Change: path_bench sends queries from client threads to one host; process_bench.py runs it with leafs that take 2 ms and none.

--- a/bench/process_bench.py
+++ b/bench/process_bench.py
@@ -82,9 +82,10 @@
 class Fleet:
     """The stand-ins and the hosts of one measurement."""
 
-    def __init__(self, build, work, size, zones):
+    def __init__(self, build, work, size, zones, service_us=2000):
         self.bin = os.path.join(build, "bin")
         self.work = work
+        self.service_us = service_us
         self.size = size
         self.zones = zones
         self.documents = os.path.join(work, "documents")
@@ -153,7 +154,8 @@
         self.start_process(
             "leafs", os.path.join(self.bin, "standin_leaf"),
             f"--first-port={self.leaf_port}", f"--count={self.leafs}",
-            f"--control-port={self.control_port}", "--service-us=2000")
+            f"--control-port={self.control_port}",
+            f"--service-us={self.service_us}")
         self.start_process(
             "platform", os.path.join(self.bin, "standin_platform"),
             f"--port={self.platform.rsplit(':', 1)[1]}",
@@ -301,6 +303,27 @@
             "worst_s": round(max(times), 2) if times else None})
 
 
+def measure_path(build, zones, service_us):
+    """Queries to one host from a few client threads, each to 15 leafs."""
+    with tempfile.TemporaryDirectory(prefix="corianderrail-bench-") as work:
+        fleet = Fleet(build, work, 1, zones, service_us)
+        # The limit of the contract is not what is measured here.
+        fleet.contract = re.sub(r"(?m)^(rate_per_s|burst) = \d+", r"\1 = 100000",
+                                fleet.contract)
+        try:
+            fleet.start()
+            fleet.wait_until_ready()
+            for threads in (1, 4, 16):
+                output = subprocess.run(
+                    [os.path.join(fleet.bin, "path_bench"), fleet.callers[0],
+                     CUSTOMER, "crew-search", str(threads), "1000"],
+                    check=True, capture_output=True, text=True).stdout
+                print_line("path", {"leaf_service_us": service_us},
+                           json.loads(output))
+        finally:
+            fleet.stop()
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("build", help="build directory with bin/")
@@ -311,7 +334,12 @@
                         help="default: half a second for each host, at least 5")
     parser.add_argument("--idle-s", type=float, default=20)
     parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--skip-path", action="store_true",
+                        help="leave out the queries to one host")
     chosen = parser.parse_args()
+    if not chosen.skip_path:
+        for service_us in (1, 2000):
+            measure_path(chosen.build, chosen.zones, service_us)
     for size in [int(one) for one in chosen.members.split(",")]:
         # Joins of all hosts are passed on until long after the start.
         settle = chosen.settle_s
