Stop the hosts of the process benchmark on SIGTERM

Cause: SIGTERM, as timeout(1) sends it, ended the script without its clean-up, which would leave up to 128 hosts running.

Change: a handler turns the signal into an exit, which ends the processes that the script started.

--- a/bench/process_bench.py
+++ b/bench/process_bench.py
@@ -312,6 +312,8 @@
     parser.add_argument("--idle-s", type=float, default=20)
     parser.add_argument("--rounds", type=int, default=5)
     chosen = parser.parse_args()
+    # Without a handler SIGTERM ends this process and leaves the hosts running.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     for size in [int(one) for one in chosen.members.split(",")]:
         # Joins of all hosts are passed on until long after the start.
         settle = chosen.settle_s
