--- a/bench/process_bench.py
+++ b/bench/process_bench.py
@@ -337,6 +337,8 @@
     parser.add_argument("--skip-path", action="store_true",
                         help="leave out the queries to one host")
     chosen = parser.parse_args()
+    # Without a handler SIGTERM ends this process and leaves the hosts running.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     if not chosen.skip_path:
         for service_us in (1, 2000):
             measure_path(chosen.build, chosen.zones, service_us)
