Keep the hold of a seat change when another set follows

Cause: SetContracts let shares under unchanged seats settle at once, also when the seats had changed less than one hold before. Change: a set never ends a pending hold.

--- a/packages/core/limit_share.cpp
+++ b/packages/core/limit_share.cpp
@@ -114,8 +114,9 @@
   const bool seats_changed = seats_.SetSeats(set->seats);
   // The first set counts as a change: the predecessor at this address may have
   // lent its share just before this host started.
-  const time_point settle = seats_changed ? now + hold_ : now;
-  if (seats_changed) settle_ = settle;
+  // A set that follows within the hold must not end it early.
+  if (seats_changed) settle_ = now + hold_;
+  const time_point settle = std::max(now, settle_);
   std::map<std::string, kind_map, std::less<>> before;
   std::swap(before, customers_);
   for (const auto& [name, contract] : set->customers) {
--- a/packages/core/tests/limit_share_fleet_test.cpp
+++ b/packages/core/tests/limit_share_fleet_test.cpp
@@ -129,6 +129,22 @@
   CHECK(test.admitted.size() >= std::size_t{120} * 2 * 8 / 10);
 }
 
+// Guards against a set that follows a change of seats and ends the hold of that
+// change early, while leases under the former seats are still in use.
+TEST_CASE("LimitShare_NextSetWithinHold_KeepsHold") {
+  share_fleet test("100 10", {}, 13);
+  auto seats = test.fleet.addresses;
+  seats.resize(4);
+  test.Run(seconds(15));
+  test.demand[0] = 300;
+  test.Run(seconds(10));
+  test.fleet.service.Publish(2, seats, {{"acme/2", "100 10"}});
+  test.Run(seconds(2));
+  test.fleet.service.Publish(3, seats, {{"acme/3", "100 10"}});
+  test.Run(seconds(12));
+  CHECK(test.Worst() <= 1010);
+}
+
 // Guards against hosts outside the seat list that add to the sum.
 TEST_CASE("LimitShare_HostWithoutSeat_AdmitsNothing") {
   share_fleet test("100 10", {}, 9);
