--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -71,6 +71,7 @@
              int requests) {
   std::vector<client_result> results(static_cast<std::size_t>(threads));
   std::vector<std::thread> clients;
+  clients.reserve(results.size());
   const auto start = clock::now();
   for (client_result& result : results) {
     clients.emplace_back([&] { result = RunClient(address, body, requests); });
