--- a/tests/driver/invariant_test.cpp
+++ b/tests/driver/invariant_test.cpp
@@ -1,6 +1,8 @@
 /** @file invariant_test.cpp Invariants of the tier in virtual time. */
 
 #include <catch2/catch.hpp>
+#include <span>
+#include <vector>
 
 #include "driver/load_generator.h"
 #include "driver/order_load.h"
@@ -170,6 +172,57 @@
   }
 }
 
+/** First leaf of every service, told to drain. */
+std::vector<leaf_id> DrainFirstLeafs(tier_fleet& tier) {
+  std::vector<leaf_id> draining;
+  for (const service_info& service : tier.Store().Topology()->services) {
+    draining.push_back(service.leafs.front().id);
+    tier.Fleet().leafs.Leaf(draining.back()).SetDraining(true);
+  }
+  return draining;
+}
+
+/** Requests that leafs received so far. */
+std::uint64_t SubmittedTo(tier_fleet& tier, std::span<const leaf_id> leafs) {
+  std::uint64_t sum = 0;
+  for (const leaf_id id : leafs) sum += tier.Fleet().leafs.Leaf(id).Submitted();
+  return sum;
+}
+
+// Guards against new work for a leaf that said it is draining, under load that
+// its replicas cannot carry without queueing.
+TEST_CASE("Tier_LeafsDrain_GetNoWorkAfterThreeSeconds") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    INFO("seed " << seed);
+    tier_fleet tier(seed, 0.6);
+    tier.Run(seconds(2));
+    const std::vector<leaf_id> draining = DrainFirstLeafs(tier);
+    tier.Run(seconds(3));
+    const std::uint64_t before = SubmittedTo(tier, draining);
+    CHECK(before > 0);
+    tier.Run(seconds(5));
+    CHECK(SubmittedTo(tier, draining) == before);
+  }
+}
+
+// Guards against a new owner that has not heard of the drain: the old owner's
+// host fails, and its services move.
+TEST_CASE("Tier_LeafsDrainAndOwnersFail_GetNoWorkAfterThreeSeconds") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    INFO("seed " << seed);
+    tier_fleet tier(seed, 0.4);
+    tier.Run(seconds(2));
+    const std::vector<leaf_id> draining = DrainFirstLeafs(tier);
+    tier.Run(seconds(3));
+    const std::uint64_t before = SubmittedTo(tier, draining);
+    tier.Fleet().KillHost(0);
+    tier.Run(seconds(8));
+    tier.Fleet().KillHost(1);
+    tier.Run(seconds(8));
+    CHECK(SubmittedTo(tier, draining) == before);
+  }
+}
+
 // Guards against owners that queue inside the leaf, where neither rank nor
 // cancellation reaches the work.
 TEST_CASE("Tier_LoadAboveCapacity_NeverExceedsSlots") {
