--- a/packages/core/leaf_dispatch.cpp
+++ b/packages/core/leaf_dispatch.cpp
@@ -70,8 +70,7 @@
   return now >= SendBy(task, now);
 }
 
-void service_owner::state::Enqueue(slot_handle id, time_point now) {
-  (void)now;
+void service_owner::state::Enqueue(slot_handle id) {
   task_record& task = *tasks.Find(id);
   task.state = task_state::queued;
   task.sequence = next_sequence++;
@@ -261,7 +260,7 @@
   }
   task.repeated = true;
   if (task.service->budget.TakeForRetry(now)) {
-    Enqueue(id, now);
+    Enqueue(id);
     return;
   }
   task.state = task_state::token_wait;
@@ -297,7 +296,7 @@
     const bool waits = task != nullptr && task->state == task_state::token_wait;
     if (waits && !service.budget.TakeForRetry(now)) return;
     service.token_wait.pop_front();
-    if (waits) Enqueue(id, now);
+    if (waits) Enqueue(id);
   }
 }
 
--- a/packages/core/leaf_watch.cpp
+++ b/packages/core/leaf_watch.cpp
@@ -131,7 +131,7 @@
     task.last = part_status::failed;
     if (failure == leaf_failure::not_sent && ++task.unsent < kUnsentLimit) {
       // No byte went out, so the next request is no extra load.
-      if (!Waiting(task)) Enqueue(call.task, now);
+      if (!Waiting(task)) Enqueue(call.task);
     } else if (failure != leaf_failure::not_sent && task.order) {
       FinishOrder(call.task, run_state::unknown,
                   refusal_reason::outcome_unknown, {}, now, effects);
--- a/packages/core/owner_state.h
+++ b/packages/core/owner_state.h
@@ -203,7 +203,7 @@
   rank_wait Wait(service_state& service, time_point now) const;
 
   // leaf_dispatch.cpp: from the queue to a leaf.
-  void Enqueue(slot_handle id, time_point now);
+  void Enqueue(slot_handle id);
   void LeaveQueue(task_record& task);
   void Dispatch(service_state& service, time_point now, effect_list& effects);
   bool DispatchRank(service_state& service, rank urgency, time_point now,
--- a/packages/core/service_owner.cpp
+++ b/packages/core/service_owner.cpp
@@ -321,7 +321,7 @@
   batch.tasks.push_back(id);
   ++batch.open;
   ++service->tasks;
-  Enqueue(id, now);
+  Enqueue(id);
   if (body.remaining <= duration::zero() ||
       service->queue.Live(body.urgency) > kQueueLimit) {
     Drop(id, now, effects);
@@ -412,7 +412,7 @@
   task.order->map = map;
   const slot_handle id = tasks.Insert(std::move(task));
   ++service->tasks;
-  Enqueue(id, now);
+  Enqueue(id);
   if (body.remaining <= duration::zero() ||
       service->queue.Live(body.urgency) > kQueueLimit) {
     Drop(id, now, effects);
@@ -433,7 +433,7 @@
 }
 
 void service_owner::SetOwned(std::span<const service_id> services,
-                             time_point now, effect_list& effects) {
+                             time_point /*now*/, effect_list& effects) {
   std::vector<bool> wanted(state_->by_id.size(), false);
   for (const service_id id : services) {
     if (Raw(id) < wanted.size()) wanted[Raw(id)] = true;
@@ -450,7 +450,6 @@
     if (leaf->Leaving()) state_->Tell(*leaf, true, effects);
   }
   state_->UpdateAllConnections(effects);
-  (void)now;
 }
 
 void service_owner::SetFloors(const per_rank<ppm>& floors) {
--- a/packages/ctl/host_commands.cpp
+++ b/packages/ctl/host_commands.cpp
@@ -72,9 +72,7 @@
     context.out << reply.body << "\n";
     return;
   }
-  for (const json_line& line : reply.lines) {
-    context.out << line.path << ": " << line.value << "\n";
-  }
+  context.out << FormatLines(reply.lines);
 }
 
 /** Exit code of a refusal or an order's state; nothing for other replies. */
--- a/packages/ctl/json_lines.cpp
+++ b/packages/ctl/json_lines.cpp
@@ -11,7 +11,7 @@
 #include <algorithm>
 #include <sstream>
 
-#include "wire/wire_error.h"
+#include "wire/json_value.h"
 
 namespace corianderrail {
 
@@ -19,28 +19,6 @@
 
 using cxxtools::SerializationInfo;
 
-/**
- * Most opening brackets in a row of nesting. The parser recurses once for each
- * level, so the depth is bounded before it sees the text.
- */
-constexpr int kNestingLimit = 16;
-
-void CheckNesting(std::string_view text) {
-  int depth = 0;
-  bool quoted = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    char c = text[i];
-    if (quoted && c == '\\') ++i;
-    if (c == '"') quoted = !quoted;
-    if (quoted) continue;
-    if (c == '[' || c == '{') ++depth;
-    if (c == ']' || c == '}') --depth;
-    if (depth <= kNestingLimit) continue;
-    throw wire_error(wire_error::kind::out_of_range,
-                     "the reply is nested too deeply");
-  }
-}
-
 /** Keeps one line a value, whatever the reply contains. */
 std::string OneLine(std::string text) {
   std::replace_if(
@@ -70,7 +48,7 @@
 }  // namespace
 
 std::vector<json_line> FlattenJson(std::string_view text) {
-  CheckNesting(text);
+  CheckJsonNesting(text);
   std::vector<json_line> lines;
   std::istringstream in{std::string(text)};
   try {
@@ -95,6 +73,30 @@
   return lines;
 }
 
+std::string FormatLines(const std::vector<json_line>& lines) {
+  std::string text;
+  std::string open;
+  for (const json_line& line : lines) {
+    const std::size_t bracket = line.path.find('[');
+    if (bracket == std::string::npos) {
+      text += (text.empty() ? "" : "\n") + line.path + ": " + line.value;
+      open.clear();
+      continue;
+    }
+    const std::size_t dot = line.path.find('.', bracket);
+    const bool scalar = dot == std::string::npos;
+    const std::string group = line.path.substr(0, scalar ? bracket : dot);
+    if (group != open) {
+      text += (text.empty() ? "" : "\n") + group + ":";
+      open = group;
+    }
+    text += ' ';
+    if (!scalar) text += line.path.substr(dot + 1) + '=';
+    text += line.value.empty() ? "\"\"" : line.value;
+  }
+  return text.empty() ? text : text + "\n";
+}
+
 std::optional<std::string> FindLine(const std::vector<json_line>& lines,
                                     std::string_view path) {
   for (const json_line& line : lines) {
--- a/packages/ctl/json_lines.h
+++ b/packages/ctl/json_lines.h
@@ -22,6 +22,12 @@
  */
 std::vector<json_line> FlattenJson(std::string_view text);
 
+/**
+ * Lines of text: one for a member, one for a list of scalars and one for each
+ * object of a list.
+ */
+std::string FormatLines(const std::vector<json_line>& lines);
+
 /** Value at a path. */
 std::optional<std::string> FindLine(const std::vector<json_line>& lines,
                                     std::string_view path);
--- a/packages/wire/json_value.cpp
+++ b/packages/wire/json_value.cpp
@@ -19,34 +19,11 @@
 
 namespace {
 
-using kind = wire_error::kind;
-using cxxtools::SerializationInfo;
-
 /** Deepest nesting; the formats of this tier use three levels. */
 constexpr int kNestingLimit = 16;
 
-/**
- * Bounds the nesting before the parser sees the text, because the parser and
- * the destructor of its result recurse once for each level.
- */
-void CheckNesting(std::string_view text) {
-  int depth = 0;
-  bool in_text = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (in_text) {
-      if (c == '\\') ++i;
-      if (c == '"') in_text = false;
-      continue;
-    }
-    if (c == '"') in_text = true;
-    if (c == '[' || c == '{') ++depth;
-    if (c == ']' || c == '}') --depth;
-    if (depth > kNestingLimit) {
-      throw wire_error(kind::out_of_range, "JSON nested too deeply");
-    }
-  }
-}
+using kind = wire_error::kind;
+using cxxtools::SerializationInfo;
 
 std::string Named(std::string_view name) {
   return "member '" + std::string(name) + "'";
@@ -111,6 +88,26 @@
 
 }  // namespace
 
+// The parser and the destructor of its result recurse once for each level.
+void CheckJsonNesting(std::string_view text) {
+  int depth = 0;
+  bool in_text = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_text) {
+      if (c == '\\') ++i;
+      if (c == '"') in_text = false;
+      continue;
+    }
+    if (c == '"') in_text = true;
+    if (c == '[' || c == '{') ++depth;
+    if (c == ']' || c == '}') --depth;
+    if (depth > kNestingLimit) {
+      throw wire_error(kind::out_of_range, "JSON nested too deeply");
+    }
+  }
+}
+
 struct json_object::state {
   SerializationInfo value;
 
@@ -138,7 +135,7 @@
     throw wire_error(kind::too_large, "JSON text larger than " +
                                           std::to_string(limit) + " bytes");
   }
-  CheckNesting(text);
+  CheckJsonNesting(text);
   auto parsed = std::make_unique<state>();
   std::istringstream in{std::string(text)};
   try {
--- a/packages/wire/json_value.h
+++ b/packages/wire/json_value.h
@@ -20,6 +20,12 @@
 /** Largest integer that every JSON reader keeps exactly. */
 inline constexpr std::uint64_t kExactJsonInteger = 1ULL << 53;
 
+/**
+ * Bounds the nesting of a JSON text before a parser that recurses sees it.
+ * @throws wire_error when it is nested more than 16 levels deep.
+ */
+void CheckJsonNesting(std::string_view text);
+
 /** A parsed JSON object whose members are read with strict checks. */
 class json_object {
  public:
--- a/tests/driver/leaf_pool.cpp
+++ b/tests/driver/leaf_pool.cpp
@@ -128,6 +128,7 @@
   leaf.open -= std::min(leaf.open, to.open);
   to.open = leaf.up ? std::min(to.target, limit - leaf.open) : 0;
   leaf.open += to.open;
+  if (leaf.up) denied_ += to.target - to.open;
   fleet_.Deliver(host, fleet_.Life(host), leaf_connections_event{id, to.open});
 }
 
--- a/tests/driver/leaf_pool.h
+++ b/tests/driver/leaf_pool.h
@@ -33,6 +33,9 @@
   void Cancel(std::size_t host, const cancel_leaf_effect& effect);
   void SetTarget(std::size_t host, const set_connections_effect& effect);
 
+  /** Connections that hosts wanted beyond the limits of leafs. */
+  std::uint64_t Denied() const { return denied_; }
+
   /** Closes all connections of a host. */
   void Forget(std::size_t host);
 
@@ -71,6 +74,7 @@
 
   virtual_fleet& fleet_;
   std::uint64_t last_ticket_ = 0;
+  std::uint64_t denied_ = 0;
   std::unordered_map<leaf_id, leaf_slot> leafs_;
   std::unordered_map<std::size_t, host_links> hosts_;
   std::unordered_map<std::uint64_t, open_call> calls_;
