--- a/packages/core/admission.cpp
+++ b/packages/core/admission.cpp
@@ -91,6 +91,12 @@
   return std::chrono::duration<double>(value).count();
 }
 
+/** Part of a reported wait that is left at `now`. */
+double DecaySince(time_point reported, time_point now) {
+  const double age = Seconds(now - reported) / Seconds(kWaitDecay);
+  return std::exp(-std::max(0.0, age));
+}
+
 admission_refusal Refuse(refusal_reason reason, std::string detail,
                          duration retry_after = {}) {
   return {reason, std::move(detail), retry_after};
@@ -174,8 +180,9 @@
                               time_point now) {
   if (Raw(service) >= services_.size()) return;
   service_load& load = services_[Raw(service)];
+  const double decay = DecaySince(load.updated, now);
   for (std::size_t i = 0; i < kRankCount; ++i) {
-    const double before = WaitOf(service, kAllRanks[i], now);
+    const double before = load.wait[i] * decay;
     const double sample = wait[i];
     const double weight = sample > before ? kRiseWeight : kFallWeight;
     load.wait[i] = before + weight * (sample - before);
@@ -186,8 +193,7 @@
 double admission::WaitOf(service_id service, rank urgency,
                          time_point now) const {
   const service_load& load = services_[Raw(service)];
-  const double age = Seconds(now - load.updated) / Seconds(kWaitDecay);
-  return load.wait[RankIndex(urgency)] * std::exp(-std::max(0.0, age));
+  return load.wait[RankIndex(urgency)] * DecaySince(load.updated, now);
 }
 
 /**
--- a/packages/core/leaf_queue.cpp
+++ b/packages/core/leaf_queue.cpp
@@ -3,6 +3,7 @@
 #include "core/leaf_queue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corianderrail {
 
@@ -64,14 +65,20 @@
 }
 
 per_rank<rank> leaf_queue::Order(const per_rank<ppm>& floors) const {
+  per_rank<double> due{};
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    if (live_[i] == 0 || floors[i] == 0) continue;
+    if (credit_[i] >= last_cost_) due[i] = credit_[i] / floors[i];
+  }
+  // Insertion keeps the order of equal ranks. std::stable_sort allocates a
+  // buffer, and this runs once for each leaf request.
   per_rank<rank> order = kAllRanks;
-  const auto due = [&](rank r) {
-    const std::size_t i = RankIndex(r);
-    if (live_[i] == 0 || floors[i] == 0) return 0.0;
-    return credit_[i] >= last_cost_ ? credit_[i] / floors[i] : 0.0;
-  };
-  std::stable_sort(order.begin(), order.end(),
-                   [&](rank a, rank b) { return due(a) > due(b); });
+  for (std::size_t i = 1; i < kRankCount; ++i) {
+    for (std::size_t j = i; j > 0; --j) {
+      if (due[RankIndex(order[j])] <= due[RankIndex(order[j - 1])]) break;
+      std::swap(order[j], order[j - 1]);
+    }
+  }
   return order;
 }
 
