--- /dev/null
+++ b/packages/edge/edge_metrics.h
@@ -0,0 +1,35 @@
+/** @file edge_metrics.h Metrics of an edge host for Prometheus. */
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "edge/http_port.h"
+#include "edge/leaf_pool.h"
+#include "edge/peer_link.h"
+#include "gateway/gateway_type.h"
+
+namespace corianderrail::edge {
+
+/** What the text is written from. */
+struct edge_metrics_sources {
+  gateway::gateway_counters core;       ///< Requests and decisions.
+  std::uint64_t open_exchanges = 0;     ///< Requests not answered yet.
+  std::uint64_t open_calls = 0;         ///< Requests to leafs in flight.
+  std::uint64_t known_leafs = 0;        ///< Leafs in the registry.
+  std::uint64_t version = 0;            ///< Configuration in force.
+  http_port_counters clients;           ///< Connections of clients.
+  leaf_pool_counters leafs;             ///< Connections to leafs.
+  peer_link_counters peers;             ///< Datagrams between hosts.
+  std::uint64_t members = 0;            ///< Hosts known.
+  std::uint64_t store_calls = 0;        ///< Reads from the store.
+  std::uint64_t store_failures = 0;     ///< Of these, without a reply.
+  std::uint64_t log_lines_dropped = 0;  ///< Lines that were not written.
+  bool ready = false;                   ///< This host takes clients.
+};
+
+/** Text exposition format of Prometheus. */
+std::string MetricsText(const edge_metrics_sources& from);
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/edge_process.cpp
@@ -0,0 +1,470 @@
+/** @file edge_process.cpp Ports, links and reducers of an edge host. */
+
+#include "edge/edge_process.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "core/host_address.h"
+#include "edge/decision_log.h"
+#include "edge/edge_metrics.h"
+#include "edge/http_port.h"
+#include "edge/leaf_pool.h"
+#include "edge/line_writer.h"
+#include "edge/peer_link.h"
+#include "edge/process_time.h"
+#include "edge/store_link.h"
+#include "gateway/entry_choice.h"
+#include "gateway/gateway.h"
+#include "gateway/stop_timing.h"
+#include "platform/config_codec.h"
+#include "platform/message_codec.h"
+#include "platform/wire_names.h"
+#include "wire/incarnation.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using gateway::decision_input;
+
+/** Pause between looks for connections that exceeded a time limit. */
+constexpr std::chrono::milliseconds kSweepPeriod{200};
+
+/** Lines that the reader of standard output has not taken yet, in bytes. */
+constexpr std::size_t kLogBound = 256u << 10;
+
+/** Parts of the descriptors for clients and for checks and lookups. */
+constexpr std::size_t kClientPart = 2;
+constexpr std::size_t kCheckPart = 16;
+
+/** Most addresses that a client reads from an answer. */
+constexpr std::size_t kMostEntries = 64;
+
+/** Fewer hosts than this are not assumed for shares of fleet-wide bounds:
+ *  after a start, peers may not have been heard of yet. */
+constexpr std::uint32_t kLeastHosts = 4;
+
+/** Part of a leaf's drain time in which it is used as a last resort. The rest
+ *  covers the time until this host learns of it. */
+constexpr int kDrainNumerator = 6;
+constexpr int kDrainDenominator = 10;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+std::uint64_t RandomSeed() {
+  std::random_device source;
+  return (std::uint64_t{source()} << 32) ^ source();
+}
+
+member_record MakeSelf(const edge_settings& from) {
+  member_record self;
+  self.ref = {HostIdOf(from.peer_address), MakeIncarnation()};
+  self.peer_address = from.peer_address;
+  self.caller_address = from.client_address;
+  self.zone = from.zone;
+  self.region = from.region;
+  self.capacity = 100;
+  return self;
+}
+
+membership_settings MakeMembership(const edge_settings& from) {
+  membership_settings settings;
+  settings.seeds = from.seeds;
+  return settings;
+}
+
+gateway::gateway_settings MakeGateway(const edge_settings& from) {
+  gateway::gateway_settings settings;
+  settings.here = {from.zone, from.region, from.regions};
+  settings.repeats = {from.repeat_ratio, from.repeat_slack, from.repeat_window};
+  settings.leafs.last_resort =
+      from.leaf_drain * kDrainNumerator / kDrainDenominator;
+  return settings;
+}
+
+}  // namespace
+
+struct edge_process::state {
+  state(edge_settings given, std::string given_path);
+
+  void Reduce(gateway::event happening);
+  void Do(gateway::send_leaf_effect& effect) { leafs.Send(std::move(effect)); }
+  void Do(gateway::cancel_leaf_effect& effect) { leafs.Cancel(effect.call); }
+  void Do(gateway::connect_leaf_effect& effect) { leafs.Connect(effect); }
+  void Do(gateway::forget_leaf_effect& effect) { leafs.Forget(effect.leaf); }
+  void Do(gateway::answer_effect& effect);
+  void Do(gateway::log_effect& effect) { log.Write(effect, Now()); }
+
+  http_handler ClientHandler();
+  http_handler ReadyHandler();
+  http_handler LookupHandler();
+  http_handler MetricsHandler();
+  store_link::handler ConfigHandler();
+  store_link::handler LeafHandler();
+  void OnConfig(std::vector<gateway::store_item> changes);
+  void OnLeafs(std::vector<gateway::store_item> changes);
+  void OnReachable(std::string_view store, bool reachable);
+  void OnMembers();
+  void CheckReady();
+  void WaitForSignal();
+  void OnSignal(int number);
+  void Sweep();
+  void Wake();
+  void EndIfDone();
+
+  edge_settings settings;
+  std::string path;
+  asio::io_context io{1};
+  line_writer lines;
+  decision_log log;
+  gateway::gateway core;
+  leaf_pool leafs;
+  http_port clients;
+  http_port ready_port;
+  http_port lookups;
+  http_port metrics_port;
+  peer_link peers;
+  store_link config_store;
+  store_link leaf_store;
+  asio::signal_set signals;
+  asio::steady_timer wake_timer;
+  asio::steady_timer sweep_timer;
+  time_point wake_at = kNever;
+  bool reducing = false;
+  std::vector<gateway::event> posted;
+  std::vector<member_record> members;
+  std::uint32_t most_hosts = kLeastHosts;
+  bool ready = false;
+  bool stopping = false;
+  gateway::stop_progress stop;
+};
+
+edge_process::state::state(edge_settings given, std::string given_path)
+    : settings(std::move(given)),
+      path(std::move(given_path)),
+      lines(io, STDOUT_FILENO, kLogBound),
+      log(lines, settings.host),
+      core(MakeGateway(settings)),
+      leafs(io, [this](gateway::event one) { Reduce(std::move(one)); }),
+      clients(io, settings.client_address,
+              settings.most_descriptors / kClientPart, ClientHandler()),
+      ready_port(io, settings.ready_address,
+                 settings.most_descriptors / kCheckPart, ReadyHandler()),
+      lookups(io, settings.lookup_address,
+              settings.most_descriptors / kCheckPart, LookupHandler()),
+      metrics_port(io, settings.metrics_address,
+                   settings.most_descriptors / kCheckPart, MetricsHandler()),
+      peers(io, MakeSelf(settings), MakeMembership(settings),
+            settings.shared_key, RandomSeed()),
+      config_store(io, settings.store_address,
+                   gateway::store_follower(std::string(platform::kConfigPrefix),
+                                           {}, RandomSeed()),
+                   ConfigHandler()),
+      leaf_store(io, settings.store_address,
+                 gateway::store_follower(std::string(platform::kLeafPrefix), {},
+                                         RandomSeed()),
+                 LeafHandler()),
+      signals(io, SIGTERM, SIGINT, SIGHUP),
+      wake_timer(io),
+      sweep_timer(io) {}
+
+/** Carries out the effects of an event, and of the events that they cause. */
+void edge_process::state::Reduce(gateway::event happening) {
+  posted.push_back(std::move(happening));
+  if (reducing) return;
+  reducing = true;
+  while (!posted.empty()) {
+    std::vector<gateway::event> batch;
+    batch.swap(posted);
+    gateway::effect_list effects;
+    for (auto& one : batch) core.Reduce(std::move(one), Now(), effects);
+    for (auto& effect : effects) {
+      std::visit([this](auto& one) { Do(one); }, effect);
+    }
+  }
+  reducing = false;
+  Wake();
+}
+
+void edge_process::state::Do(gateway::answer_effect& effect) {
+  http_reply reply;
+  reply.status = effect.answer.status;
+  reply.fields = platform::AnswerFields(effect.answer);
+  reply.body = std::move(effect.answer.body);
+  clients.Reply(request_id{static_cast<std::uint64_t>(effect.exchange)},
+                std::move(reply));
+}
+
+void edge_process::state::Wake() {
+  const time_point next = core.NextWake();
+  if (next == wake_at) return;
+  wake_at = next;
+  wake_timer.expires_at(SteadyTime(next));
+  wake_timer.async_wait([this](error_code error) {
+    if (error) return;
+    wake_at = kNever;
+    Reduce(gateway::wake_event{});
+  });
+}
+
+http_handler edge_process::state::ClientHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&& request) {
+    stop.last_request = Now();
+    auto decoded = std::make_shared<gateway::client_request>(
+        platform::DecodeRequest(std::move(request)));
+    Reduce(gateway::request_event{
+        gateway::exchange_id{static_cast<std::uint64_t>(id)},
+        std::move(decoded)});
+  };
+  handler.on_gone = [this](request_id id) {
+    Reduce(gateway::client_gone_event{
+        gateway::exchange_id{static_cast<std::uint64_t>(id)}});
+  };
+  return handler;
+}
+
+http_handler edge_process::state::ReadyHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&& request) {
+    const std::string target(request.target());
+    const bool known = target == platform::kReadyPath;
+    const int status = !known ? kNotFound : ready ? kOk : kUnavailable;
+    ready_port.Reply(id, {status, {}, {}});
+  };
+  handler.on_gone = [](request_id) {};
+  return handler;
+}
+
+http_handler edge_process::state::LookupHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&& request) {
+    const std::string target(request.target());
+    if (!target.starts_with(platform::kLookupPath)) {
+      lookups.Reply(id, {kNotFound, {}, {}});
+      return;
+    }
+    const auto from = platform::DecodeLookup(target);
+    const auto addresses =
+        gateway::ChooseEntries(members, from.zone, from.region, kMostEntries);
+    if (addresses.empty()) {
+      lookups.Reply(id, {kUnavailable, {}, {}});
+      return;
+    }
+    lookups.Reply(
+        id, {kOk,
+             {{"Content-Type", "application/json"}},
+             platform::EncodeLookup(addresses,
+                                    static_cast<int>(settings.lookup_ttl_s))});
+  };
+  handler.on_gone = [](request_id) {};
+  return handler;
+}
+
+http_handler edge_process::state::MetricsHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&&) {
+    edge_metrics_sources from;
+    from.core = core.Counters();
+    from.open_exchanges = core.OpenExchanges();
+    from.open_calls = core.OpenCalls();
+    from.known_leafs = core.Leafs();
+    from.version = static_cast<std::uint64_t>(core.Version());
+    from.clients = clients.Counters();
+    from.leafs = leafs.Counters();
+    from.peers = peers.Counters();
+    from.members = members.size();
+    from.store_calls = config_store.Calls() + leaf_store.Calls();
+    from.store_failures = config_store.Failures() + leaf_store.Failures();
+    from.log_lines_dropped = lines.Dropped() + log.LeftOut();
+    from.ready = ready;
+    metrics_port.Reply(
+        id, {kOk, {{"Content-Type", "text/plain"}}, MetricsText(from)});
+  };
+  handler.on_gone = [](request_id) {};
+  return handler;
+}
+
+store_link::handler edge_process::state::ConfigHandler() {
+  return {[this](std::vector<gateway::store_item> changes) {
+            OnConfig(std::move(changes));
+          },
+          [this](bool reachable) { OnReachable("configuration", reachable); }};
+}
+
+store_link::handler edge_process::state::LeafHandler() {
+  return {[this](std::vector<gateway::store_item> changes) {
+            OnLeafs(std::move(changes));
+          },
+          [this](bool reachable) { OnReachable("leafs", reachable); }};
+}
+
+void edge_process::state::OnReachable(std::string_view store, bool reachable) {
+  const decision_input inputs[] = {{"follows", std::string(store)}};
+  log.WriteEvent(reachable ? "store_regained" : "store_lost", inputs);
+}
+
+void edge_process::state::OnConfig(std::vector<gateway::store_item> changes) {
+  for (gateway::store_item& item : changes) {
+    if (item.key != platform::kConfigKey || item.removed) continue;
+    auto config = platform::DecodeConfig(item.value);
+    if (!config) {
+      const decision_input inputs[] = {
+          {"revision", std::to_string(item.revision)},
+          {"bytes", std::to_string(item.value.size())}};
+      log.WriteEvent("config_unreadable", inputs);
+      continue;
+    }
+    Reduce(gateway::config_event{std::move(config)});
+  }
+  http_limits limits;
+  const gateway::client_limits& from = core.Limits();
+  limits.header_bytes = from.header_bytes;
+  limits.body_bytes = from.body_bytes;
+  limits.header_timeout = from.header_timeout;
+  limits.idle_timeout = from.idle_timeout;
+  clients.SetLimits(limits);
+  peers.SetRevision(static_cast<std::uint64_t>(core.Version()));
+  CheckReady();
+}
+
+void edge_process::state::OnLeafs(std::vector<gateway::store_item> changes) {
+  gateway::registry_event happening;
+  for (gateway::store_item& item : changes) {
+    gateway::registry_change change;
+    change.key = std::move(item.key);
+    change.revision = item.revision;
+    if (!item.removed) {
+      change.record = platform::DecodeLeaf(change.key, item.value);
+      change.unusable = !change.record;
+    }
+    happening.changes.push_back(std::move(change));
+  }
+  if (!happening.changes.empty()) Reduce(std::move(happening));
+  CheckReady();
+}
+
+void edge_process::state::CheckReady() {
+  const bool serves =
+      core.CanServe() && config_store.Listed() && leaf_store.Listed();
+  if (ready || stopping || !serves) return;
+  ready = true;
+  log.WriteEvent("ready", {});
+  peers.SetReady(true);
+}
+
+void edge_process::state::OnMembers() {
+  members = peers.Members();
+  std::uint32_t near = 0;
+  std::uint32_t all = 0;
+  for (const member_record& member : members) {
+    if (member.state == member_state::gone) continue;
+    ++all;
+    if (member.region == settings.region) ++near;
+  }
+  most_hosts = std::max(most_hosts, all);
+  std::map<std::string, std::uint32_t> regions;
+  for (const auto& [zone, region] : settings.regions) regions[region] = 0;
+  const auto count =
+      std::max<std::uint32_t>(static_cast<std::uint32_t>(regions.size()), 1);
+  gateway::fleet_event happening;
+  happening.hosts = most_hosts;
+  happening.own_region = {near, all - near};
+  // Seen from a leaf elsewhere: its region is taken to hold an equal share.
+  const std::uint32_t elsewhere = all / count;
+  happening.other_regions = {elsewhere, std::max(all - elsewhere, 1u)};
+  Reduce(std::move(happening));
+}
+
+void edge_process::state::WaitForSignal() {
+  signals.async_wait([this](error_code error, int number) {
+    if (error) return;
+    OnSignal(number);
+    WaitForSignal();
+  });
+}
+
+void edge_process::state::OnSignal(int number) {
+  if (number == SIGHUP) {
+    // Addresses and limits are fixed for the life of the process; the file is
+    // only checked, so that a bad one is known before the next start.
+    try {
+      LoadEdgeSettings(path);
+      log.WriteEvent("settings_checked", {});
+    } catch (const edge_settings_error& error) {
+      const decision_input inputs[] = {{"error", error.what()}};
+      log.WriteEvent("settings_refused", inputs);
+    }
+    return;
+  }
+  if (stopping) return;
+  stopping = true;
+  ready = false;
+  stop.asked = Now();
+  log.WriteEvent("stopping", {});
+  peers.SetLeaving();
+  clients.StartDraining();
+}
+
+void edge_process::state::Sweep() {
+  clients.Sweep();
+  ready_port.Sweep();
+  lookups.Sweep();
+  metrics_port.Sweep();
+  leafs.Sweep();
+  const auto version = static_cast<std::uint64_t>(core.Version());
+  if (peers.HighestRevision() > version) config_store.Hurry();
+  EndIfDone();
+  sweep_timer.expires_after(kSweepPeriod);
+  sweep_timer.async_wait([this](error_code error) {
+    if (!error) Sweep();
+  });
+}
+
+void edge_process::state::EndIfDone() {
+  if (!stopping) return;
+  stop.open = core.OpenExchanges();
+  gateway::stop_settings timing;
+  timing.grace = settings.stop_grace;
+  timing.lookup_ttl = std::chrono::seconds(settings.lookup_ttl_s);
+  if (!gateway::MayEnd(timing, stop, Now())) return;
+  const decision_input inputs[] = {{"open", std::to_string(stop.open)}};
+  log.WriteEvent("stopped", inputs);
+  io.stop();
+}
+
+edge_process::edge_process(edge_settings settings, std::string path)
+    : state_(std::make_unique<state>(std::move(settings), std::move(path))) {}
+
+edge_process::~edge_process() = default;
+
+void edge_process::Run() {
+  state& self = *state_;
+  const decision_input inputs[] = {{"zone", self.settings.zone},
+                                   {"address", self.settings.client_address}};
+  self.log.WriteEvent("started", inputs);
+  self.WaitForSignal();
+  self.peers.Start([&self] { self.OnMembers(); });
+  self.OnMembers();
+  self.config_store.Start();
+  self.leaf_store.Start();
+  self.Sweep();
+  self.io.run();
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/edge_settings.cpp
@@ -0,0 +1,120 @@
+/** @file edge_settings.cpp Checks of the settings of an edge process. */
+
+#include "edge/edge_settings.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <sstream>
+
+#include "contract/toml_reader.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+/** Fewest and most connections, files and pipes of a process. */
+constexpr std::uint64_t kLeastDescriptors = 64;
+constexpr std::uint64_t kMostDescriptors = 1'000'000;
+
+constexpr std::uint64_t kMostMilliseconds = 3'600'000;
+constexpr std::uint64_t kMostTtlS = 3600;
+constexpr std::size_t kMostSeeds = 64;
+
+duration Milliseconds(toml_reader& from, std::string_view key,
+                      std::uint64_t fallback) {
+  return std::chrono::milliseconds(
+      from.Integer(key, 1, kMostMilliseconds, presence::optional, fallback));
+}
+
+void ReadSeeds(toml_reader& from, edge_settings& into, fault_list& faults) {
+  for (const toml::node* seed :
+       from.Strings("seeds", kMostSeeds, presence::optional)) {
+    const std::string text = seed->value_or(std::string());
+    if (!IsAddress(text)) {
+      faults.Add(contract_fault::syntax, LineOf(*seed),
+                 "'" + text + "' is not an address; write IP:PORT");
+      continue;
+    }
+    into.seeds.push_back(text);
+  }
+}
+
+void ReadRegions(toml_reader& from, edge_settings& into, fault_list& faults) {
+  const toml::table* table = from.Table("regions", presence::optional);
+  if (table == nullptr) return;
+  for (const auto& [zone, region] : *table) {
+    const auto name = region.value<std::string>();
+    if (!name) {
+      faults.Add(contract_fault::syntax, LineOf(region),
+                 "the region of a zone must be a string");
+      continue;
+    }
+    into.regions.emplace(std::string(zone.str()), *name);
+  }
+}
+
+edge_settings Read(toml_reader& from, fault_list& faults) {
+  edge_settings into;
+  into.host = from.Text("host");
+  into.zone = from.Text("zone");
+  into.region = from.Text("region");
+  into.client_address = from.Address("client_address");
+  into.ready_address = from.Address("ready_address");
+  into.lookup_address = from.Address("lookup_address");
+  into.peer_address = from.Address("peer_address");
+  into.metrics_address = from.Address("metrics_address");
+  into.store_address = from.Address("store_address");
+  into.shared_key = from.Text("shared_key");
+  into.most_descriptors =
+      from.Integer("most_descriptors", kLeastDescriptors, kMostDescriptors,
+                   presence::optional, into.most_descriptors);
+  into.repeat_ratio =
+      from.Number("repeat_ratio", 0, 10, presence::optional, into.repeat_ratio);
+  into.repeat_slack = from.Number("repeat_slack", 0, 1e9, presence::optional,
+                                  into.repeat_slack);
+  into.repeat_window = std::chrono::seconds(
+      from.Integer("repeat_window_s", 1, 3600, presence::optional, 10));
+  into.leaf_drain = Milliseconds(from, "leaf_drain_ms", 3000);
+  into.stop_grace = std::chrono::seconds(
+      from.Integer("stop_grace_s", 1, 3600, presence::optional, 6));
+  into.lookup_ttl_s = static_cast<std::uint32_t>(from.Integer(
+      "lookup_ttl_s", 1, kMostTtlS, presence::optional, into.lookup_ttl_s));
+  ReadSeeds(from, into, faults);
+  ReadRegions(from, into, faults);
+  from.Finish();
+  return into;
+}
+
+}  // namespace
+
+edge_settings ParseEdgeSettings(std::string_view text,
+                                const std::string& name) {
+  fault_list faults(name);
+  const auto table = ParseToml(text, faults);
+  edge_settings settings;
+  if (table) {
+    toml_reader reader(*table, faults);
+    settings = Read(reader, faults);
+  }
+  if (faults.Empty()) return settings;
+  std::string all;
+  for (const document_fault& fault : faults.Sorted()) {
+    if (!all.empty()) all += '\n';
+    all += fault.text;
+  }
+  throw edge_settings_error(all);
+}
+
+edge_settings LoadEdgeSettings(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) {
+    throw edge_settings_error(path +
+                              ": cannot be read; check path and permissions");
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseEdgeSettings(text.str(), path);
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/http_getter.cpp
@@ -0,0 +1,159 @@
+/** @file http_getter.cpp GET over a kept connection on Boost.Beast. */
+
+#include "edge/http_getter.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+#include "edge/http_port.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+/** Largest answer: a listing has at most about 1 MB, in base64. */
+constexpr std::size_t kAnswerLimit = 8u << 20;
+
+/** A connection that went silent is noticed after about four seconds, also
+ *  while a watch waits. */
+constexpr int kKeepAliveIdleS = 2;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void DetectSilence(tcp::socket& socket) {
+  error_code ignored;
+  using idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(idle(kKeepAliveIdleS), ignored);
+  socket.set_option(interval(kKeepAliveIntervalS), ignored);
+  socket.set_option(probes(kKeepAliveProbes), ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+}
+
+}  // namespace
+
+struct http_getter::state : std::enable_shared_from_this<http_getter::state> {
+  state(asio::io_context& io, std::string given)
+      : address(std::move(given)), socket(io), timer(io) {}
+
+  void Start(duration timeout);
+  void Write();
+  void OnMessage(error_code error);
+  void Finish(std::optional<http_result> result);
+  void Drop();
+
+  std::string address;
+  tcp::socket socket;
+  asio::steady_timer timer;
+  boost::beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::string_body>> parser;
+  std::string out;
+  callback done;
+  std::uint64_t turn = 0;  ///< Tells late handlers of an earlier read apart.
+};
+
+void http_getter::state::Start(duration timeout) {
+  ++turn;
+  timer.expires_after(timeout);
+  timer.async_wait([self = shared_from_this(), mine = turn](error_code error) {
+    if (error || mine != self->turn || !self->done) return;
+    self->Finish(std::nullopt);
+  });
+  if (socket.is_open()) {
+    Write();
+    return;
+  }
+  socket.async_connect(ParseEndpoint(address), [self = shared_from_this(),
+                                                mine = turn](error_code error) {
+    if (mine != self->turn || !self->done) return;
+    if (error) {
+      self->Finish(std::nullopt);
+      return;
+    }
+    DetectSilence(self->socket);
+    self->Write();
+  });
+}
+
+void http_getter::state::Write() {
+  asio::async_write(
+      socket, asio::buffer(out),
+      [self = shared_from_this(), mine = turn](error_code error, std::size_t) {
+        if (mine != self->turn || !self->done) return;
+        if (error) self->Finish(std::nullopt);
+      });
+  parser.emplace();
+  parser->body_limit(kAnswerLimit);
+  http::async_read(
+      socket, buffer, *parser,
+      [self = shared_from_this(), mine = turn](error_code error, std::size_t) {
+        if (mine != self->turn || !self->done) return;
+        self->OnMessage(error);
+      });
+}
+
+void http_getter::state::OnMessage(error_code error) {
+  if (error) {
+    Finish(std::nullopt);
+    return;
+  }
+  auto message = parser->release();
+  const bool reusable =
+      message.keep_alive() && !message.need_eof() && buffer.size() == 0;
+  http_result result;
+  result.status = static_cast<int>(message.result_int());
+  result.body = std::move(message.body());
+  if (!reusable) Drop();
+  Finish(std::move(result));
+}
+
+void http_getter::state::Drop() {
+  error_code ignored;
+  socket.close(ignored);
+  buffer.clear();
+}
+
+void http_getter::state::Finish(std::optional<http_result> result) {
+  ++turn;
+  timer.cancel();
+  if (!result) Drop();
+  const callback finished = std::exchange(done, nullptr);
+  finished(std::move(result));
+}
+
+http_getter::http_getter(asio::io_context& io, std::string address)
+    : state_(std::make_shared<state>(io, std::move(address))) {}
+
+http_getter::~http_getter() {
+  state_->done = nullptr;
+  state_->timer.cancel();
+  state_->Drop();
+}
+
+void http_getter::Get(const std::string& target, duration timeout,
+                      callback done) {
+  state_->out =
+      "GET " + target + " HTTP/1.1\r\nHost: " + state_->address + "\r\n\r\n";
+  state_->done = std::move(done);
+  state_->Start(timeout);
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/http_port.cpp
@@ -0,0 +1,423 @@
+/** @file http_port.cpp Sessions of an HTTP server on Boost.Beast. */
+
+#include "edge/http_port.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+#include <optional>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+
+namespace corianderrail::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::beast::iequals;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using clock = std::chrono::steady_clock;
+
+constexpr int kListenBacklog = 1024;
+constexpr unsigned kHttp10 = 10;
+
+/** Time that a peer has to close after this side did. */
+constexpr std::chrono::seconds kLinger{1};
+
+bool IsIdempotentHead(boost::beast::string_view method) {
+  return method == "HEAD";
+}
+
+/** Fields whose meaning could differ between this host and a leaf. */
+bool HasAmbiguousFraming(const http_request& request) {
+  const auto lengths = request.equal_range(http::field::content_length);
+  if (std::distance(lengths.first, lengths.second) > 1) return true;
+  const auto codings = request.equal_range(http::field::transfer_encoding);
+  const auto count = std::distance(codings.first, codings.second);
+  if (count > 1) return true;
+  if (count == 0) return false;
+  if (lengths.first != lengths.second) return true;
+  return request.version() <= kHttp10 ||
+         !iequals(codings.first->value(), "chunked");
+}
+
+bool HasBadHost(const http_request& request) {
+  const auto hosts = request.equal_range(http::field::host);
+  const auto count = std::distance(hosts.first, hosts.second);
+  return request.version() > kHttp10 ? count != 1 : count > 1;
+}
+
+/** Status for a request that could not be read; 0 closes without one. */
+int StatusFor(const error_code& error) {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  if (error == http::error::end_of_stream) return 0;
+  if (error == http::error::partial_message) return 0;
+  if (error.category() ==
+      http::make_error_code(http::error::bad_method).category()) {
+    return 400;
+  }
+  return 0;
+}
+
+std::string Serialize(const http_reply& reply, bool close, bool head) {
+  std::string text;
+  text.reserve(256 + reply.body.size());
+  text += "HTTP/1.1 ";
+  text += std::to_string(reply.status);
+  text += ' ';
+  const auto reason =
+      http::obsolete_reason(static_cast<http::status>(reply.status));
+  text.append(reason.data(), reason.size());
+  text += "\r\n";
+  for (const auto& field : reply.fields) {
+    text += field.name;
+    text += ": ";
+    text += field.value;
+    text += "\r\n";
+  }
+  if (close) text += "Connection: close\r\n";
+  const bool bodiless = reply.status == 204 || reply.status == 304;
+  if (!bodiless) {
+    text += "Content-Length: ";
+    text += std::to_string(reply.body.size());
+    text += "\r\n";
+  }
+  text += "\r\n";
+  if (!head && !bodiless) text += reply.body;
+  return text;
+}
+
+}  // namespace
+
+tcp::endpoint ParseEndpoint(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  unsigned short port = 0;
+  const char* end = address.data() + address.size();
+  const bool has_port =
+      colon != std::string::npos &&
+      std::from_chars(address.data() + colon + 1, end, port).ptr == end;
+  error_code error;
+  const auto ip = asio::ip::make_address(
+      has_port ? address.substr(0, colon) : std::string(), error);
+  if (error) {
+    throw std::invalid_argument("'" + address +
+                                "' is not an address; write IP:PORT");
+  }
+  return {ip, port};
+}
+
+struct http_port::state : std::enable_shared_from_this<http_port::state> {
+  class session;
+
+  state(asio::io_context& io, std::size_t most, http_handler given)
+      : acceptor(io), most_connections(most), handler(std::move(given)) {}
+
+  void Accept();
+
+  tcp::acceptor acceptor;
+  std::size_t most_connections;
+  http_handler handler;
+  http_limits limits;
+  http_port_counters counters;
+  bool draining = false;
+  std::uint64_t next_request = 1;
+  std::unordered_map<session*, std::shared_ptr<session>> sessions;
+  std::unordered_map<std::uint64_t, std::weak_ptr<session>> requests;
+};
+
+/** One connection of a peer. */
+class http_port::state::session : public std::enable_shared_from_this<session> {
+ public:
+  session(tcp::socket socket, std::shared_ptr<state> owner)
+      : socket_(std::move(socket)), owner_(std::move(owner)) {}
+
+  void Read();
+  void Reply(http_reply reply);
+  void Close();
+  void Sweep(clock::time_point now);
+
+ private:
+  using parser = http::request_parser<http::string_body>;
+
+  void OnHead(error_code error);
+  void OnMessage(error_code error);
+  void OnReadError(error_code error);
+  void Dispatch();
+  void Write(std::string text, bool close);
+  void OnWritten(error_code error, bool close);
+  void SendContinue();
+  void EndRequest();
+
+  tcp::socket socket_;
+  std::shared_ptr<state> owner_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<parser> parser_;
+  std::optional<http_request> waiting_;  ///< Read while another is served.
+  std::string out_;
+  std::uint64_t request_ = 0;  ///< Being served; 0 for none.
+  bool keep_alive_ = true;
+  bool head_ = false;  ///< The request's method has no body in its answer.
+  bool reading_ = false;
+  bool writing_ = false;
+  bool closing_ = false;   ///< Nothing more is read or served.
+  int failed_status_ = 0;  ///< To send after the request being served.
+  clock::time_point since_ = clock::now();  ///< Last progress.
+  bool partial_ = false;  ///< Part of a request was seen by Sweep().
+};
+
+void http_port::state::session::Read() {
+  if (reading_ || closing_) return;
+  reading_ = true;
+  partial_ = false;
+  parser_.emplace();
+  parser_->header_limit(
+      static_cast<std::uint32_t>(owner_->limits.header_bytes));
+  parser_->body_limit(owner_->limits.body_bytes);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+void http_port::state::session::OnHead(error_code error) {
+  if (error) {
+    OnReadError(error);
+    return;
+  }
+  if (HasAmbiguousFraming(parser_->get()) || HasBadHost(parser_->get())) {
+    OnReadError(http::make_error_code(http::error::bad_field));
+    return;
+  }
+  if (parser_->is_done()) {
+    OnMessage({});
+    return;
+  }
+  if (iequals(parser_->get()[http::field::expect], "100-continue") &&
+      request_ == 0 && !writing_) {
+    SendContinue();
+  }
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        self->OnMessage(failure);
+      });
+}
+
+void http_port::state::session::SendContinue() {
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  writing_ = true;
+  asio::async_write(socket_, asio::buffer(kContinue),
+                    [self = shared_from_this()](error_code, std::size_t) {
+                      self->writing_ = false;
+                      if (!self->out_.empty()) {
+                        self->Write(std::move(self->out_), !self->keep_alive_);
+                      }
+                    });
+}
+
+void http_port::state::session::OnMessage(error_code error) {
+  if (error) {
+    OnReadError(error);
+    return;
+  }
+  reading_ = false;
+  since_ = clock::now();
+  waiting_ = parser_->release();
+  if (request_ == 0 && !writing_) Dispatch();
+}
+
+void http_port::state::session::OnReadError(error_code error) {
+  reading_ = false;
+  const int status = StatusFor(error);
+  if (status != 0) {
+    ++owner_->counters.malformed;
+    closing_ = true;
+    if (request_ != 0 || writing_) {
+      failed_status_ = status;
+      return;
+    }
+    Write(Serialize({status, {}, {}}, true, false), true);
+    return;
+  }
+  // The peer closed or reset the connection.
+  Close();
+}
+
+void http_port::state::session::Dispatch() {
+  http_request request = std::move(*waiting_);
+  waiting_.reset();
+  keep_alive_ = request.keep_alive();
+  head_ = IsIdempotentHead(request.method_string());
+  request_ = owner_->next_request++;
+  owner_->requests[request_] = weak_from_this();
+  const request_id id{request_};
+  // Reading on notices a peer that closes while its request is served.
+  Read();
+  if (closing_ && failed_status_ == 0) return;
+  owner_->handler.on_request(id, std::move(request));
+}
+
+void http_port::state::session::EndRequest() {
+  owner_->requests.erase(request_);
+  request_ = 0;
+}
+
+void http_port::state::session::Reply(http_reply reply) {
+  EndRequest();
+  if (!socket_.is_open()) return;
+  const bool close = !keep_alive_ || owner_->draining || failed_status_ != 0;
+  keep_alive_ = !close;
+  std::string text = Serialize(reply, close, head_);
+  if (writing_) {
+    out_ = std::move(text);  // After the interim answer.
+    return;
+  }
+  Write(std::move(text), close);
+}
+
+void http_port::state::session::Write(std::string text, bool close) {
+  writing_ = true;
+  out_ = std::move(text);
+  since_ = clock::now();
+  asio::async_write(
+      socket_, asio::buffer(out_),
+      [self = shared_from_this(), close](error_code error, std::size_t) {
+        self->out_.clear();
+        self->OnWritten(error, close);
+      });
+}
+
+void http_port::state::session::OnWritten(error_code error, bool close) {
+  writing_ = false;
+  since_ = clock::now();
+  if (error) {
+    Close();
+    return;
+  }
+  if (close) {
+    closing_ = true;
+    error_code ignored;
+    // The peer closes first, so that an answer on its way is not reset.
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    if (!reading_) Close();
+    return;
+  }
+  if (waiting_) {
+    Dispatch();
+  } else {
+    Read();
+  }
+}
+
+void http_port::state::session::Close() {
+  const auto self = shared_from_this();
+  closing_ = true;
+  if (request_ != 0) {
+    const request_id id{request_};
+    EndRequest();
+    owner_->handler.on_gone(id);
+  }
+  error_code ignored;
+  socket_.close(ignored);
+  owner_->sessions.erase(this);
+}
+
+void http_port::state::session::Sweep(clock::time_point now) {
+  const http_limits& limits = owner_->limits;
+  if (writing_) {
+    if (now - since_ > limits.write_timeout) Close();
+    return;
+  }
+  if (request_ != 0) return;
+  if (closing_) {
+    if (now - since_ > kLinger) Close();
+    return;
+  }
+  const bool started = parser_ && (parser_->got_some() || buffer_.size() > 0);
+  if (started && !partial_) {
+    partial_ = true;
+    since_ = now;
+  }
+  const duration limit = partial_ ? limits.header_timeout : limits.idle_timeout;
+  if (now - since_ > limit) Close();
+}
+
+http_port::http_port(asio::io_context& io, const std::string& address,
+                     std::size_t most_connections, http_handler handler)
+    : state_(
+          std::make_shared<state>(io, most_connections, std::move(handler))) {
+  const tcp::endpoint endpoint = ParseEndpoint(address);
+  state_->acceptor.open(endpoint.protocol());
+  state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  state_->acceptor.bind(endpoint);
+  state_->acceptor.listen(kListenBacklog);
+  state_->Accept();
+}
+
+http_port::~http_port() {
+  error_code ignored;
+  state_->acceptor.close(ignored);
+  state_->handler = {[](request_id, http_request&&) {}, [](request_id) {}};
+  while (!state_->sessions.empty()) {
+    state_->sessions.begin()->second->Close();
+  }
+}
+
+void http_port::state::Accept() {
+  acceptor.async_accept(
+      [self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (!error) {
+          ++self->counters.accepted;
+          if (self->sessions.size() >= self->most_connections) {
+            ++self->counters.rejected;
+          } else {
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            auto fresh = std::make_shared<session>(std::move(socket), self);
+            self->sessions.emplace(fresh.get(), fresh);
+            fresh->Read();
+          }
+        }
+        if (self->acceptor.is_open()) self->Accept();
+      });
+}
+
+void http_port::Reply(request_id request, http_reply reply) {
+  const auto found = state_->requests.find(static_cast<std::uint64_t>(request));
+  if (found == state_->requests.end()) return;
+  if (const auto open = found->second.lock()) open->Reply(std::move(reply));
+}
+
+void http_port::SetLimits(const http_limits& limits) {
+  state_->limits = limits;
+}
+
+void http_port::StartDraining() { state_->draining = true; }
+
+void http_port::Sweep() {
+  const auto now = clock::now();
+  std::vector<std::shared_ptr<state::session>> all;
+  all.reserve(state_->sessions.size());
+  for (const auto& [key, one] : state_->sessions) all.push_back(one);
+  for (const auto& one : all) one->Sweep(now);
+}
+
+http_port_counters http_port::Counters() const {
+  http_port_counters counters = state_->counters;
+  counters.open = state_->sessions.size();
+  return counters;
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/leaf_pool.cpp
@@ -0,0 +1,464 @@
+/** @file leaf_pool.cpp Leaf connections on Boost.Beast. */
+
+#include "edge/leaf_pool.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <charconv>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "edge/http_port.h"
+#include "platform/message_codec.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using gateway::leaf_call;
+using gateway::leaf_failure;
+using gateway::leaf_handle;
+using tcp = asio::ip::tcp;
+using clock = std::chrono::steady_clock;
+
+/** Largest answer of a leaf; it is held whole until it is passed on. */
+constexpr std::size_t kAnswerLimit = 8u << 20;
+constexpr std::uint32_t kAnswerHeaderLimit = 64u << 10;
+
+/** A leaf that accepts no connection in this time is passed over. */
+constexpr std::chrono::milliseconds kConnectTimeout{300};
+
+/** A leaf may have closed a connection that was idle for longer. Requests
+ *  that must not run twice use only younger ones. */
+constexpr std::chrono::milliseconds kFreshIdle{400};
+
+/** A connection is closed this long before the leaf's own idle limit. */
+constexpr std::chrono::milliseconds kIdleMargin{700};
+
+/** Idle limit towards leafs that state none. */
+constexpr std::chrono::seconds kDefaultIdle{30};
+
+std::optional<std::chrono::seconds> StatedIdleLimit(
+    const platform::http_response& answer) {
+  const auto field = answer[http::field::keep_alive];
+  const std::string_view value(field.data(), field.size());
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = value.find(kTimeout);
+  if (at == std::string_view::npos) return std::nullopt;
+  const std::string_view digits = value.substr(at + kTimeout.size());
+  int seconds = 0;
+  const auto read =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (read.ec != std::errc() || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+struct leaf_pool::state : std::enable_shared_from_this<leaf_pool::state> {
+  class connection;
+  using connection_ptr = std::shared_ptr<connection>;
+
+  /** All connections to one leaf. */
+  struct leaf {
+    std::string address;
+    std::uint32_t most = 1;     ///< Connections allowed.
+    std::uint32_t opening = 0;  ///< Not connected yet.
+    bool probed = false;        ///< connect_leaf_effect awaits its event.
+    bool forgotten = false;     ///< Closes once idle.
+    std::vector<connection_ptr> all;
+    std::vector<connection_ptr> idle;  ///< Most recently used last.
+    std::deque<gateway::send_leaf_effect> pending;
+  };
+
+  state(asio::io_context& given, event_sink given_sink)
+      : io(given), sink(std::move(given_sink)) {}
+
+  leaf& Leaf(leaf_handle handle, const std::string& address);
+  void Serve(leaf_handle handle);
+  void Open(leaf_handle handle, leaf& to);
+  void OnOpened(leaf_handle handle, const connection_ptr& one, bool ok);
+  void OnIdle(leaf_handle handle, const connection_ptr& one);
+  void OnClosed(leaf_handle handle, const connection_ptr& one);
+  void Fail(leaf_call call, leaf_failure failure);
+  connection_ptr TakeIdle(leaf& from, bool fresh_only);
+
+  asio::io_context& io;
+  event_sink sink;
+  leaf_pool_counters counters;
+  std::map<leaf_handle, leaf> leafs;
+  std::unordered_map<std::uint64_t, std::weak_ptr<connection>> busy;
+};
+
+/** One connection to a leaf. */
+class leaf_pool::state::connection
+    : public std::enable_shared_from_this<connection> {
+ public:
+  connection(std::shared_ptr<state> owner, leaf_handle handle)
+      : owner_(std::move(owner)),
+        handle_(handle),
+        socket_(owner_->io),
+        timer_(owner_->io) {}
+
+  void Open(const std::string& address);
+  void Send(gateway::send_leaf_effect effect);
+  void Close();
+
+  clock::time_point IdleSince() const { return idle_since_; }
+  clock::time_point IdleUntil() const { return idle_since_ + idle_limit_; }
+
+ private:
+  using parser = http::response_parser<http::string_body>;
+
+  void StartRead();
+  void OnWritten(error_code error);
+  void OnAnswer(error_code error);
+  void Finish(error_code error);
+  void BecomeIdle();
+  void WatchIdle();
+  void FailCall(leaf_failure failure);
+
+  std::shared_ptr<state> owner_;
+  leaf_handle handle_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<parser> parser_;
+  std::optional<gateway::send_leaf_effect> current_;
+  std::string out_;
+  bool writing_ = false;
+  bool closed_ = false;
+  bool watching_ = false;  ///< Waits for bytes or an end while idle.
+  clock::time_point idle_since_{};
+  clock::duration idle_limit_ = kDefaultIdle;
+};
+
+void leaf_pool::state::connection::Open(const std::string& address) {
+  timer_.expires_after(kConnectTimeout);
+  timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (error) return;
+    error_code ignored;
+    self->socket_.close(ignored);
+  });
+  socket_.async_connect(
+      ParseEndpoint(address), [self = shared_from_this()](error_code error) {
+        self->timer_.cancel();
+        if (self->closed_) return;
+        error_code ignored;
+        const bool ok = !error && self->socket_.is_open();
+        if (ok) self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->owner_->OnOpened(self->handle_, self, ok);
+        if (ok && !self->current_) self->BecomeIdle();
+      });
+}
+
+void leaf_pool::state::connection::Send(gateway::send_leaf_effect effect) {
+  out_ = platform::EncodeLeafRequest(*effect.request, effect.time_left,
+                                     effect.instance);
+  current_ = std::move(effect);
+  owner_->busy[static_cast<std::uint64_t>(current_->call)] = weak_from_this();
+  writing_ = true;
+  asio::async_write(socket_, asio::buffer(out_),
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      self->OnWritten(error);
+                    });
+  StartRead();
+}
+
+// Reading starts with the write: a leaf may answer before it has read all.
+void leaf_pool::state::connection::StartRead() {
+  parser_.emplace();
+  parser_->body_limit(kAnswerLimit);
+  parser_->header_limit(kAnswerHeaderLimit);
+  if (current_->request->method == "HEAD") parser_->skip(true);
+  http::async_read(socket_, buffer_, *parser_,
+                   [self = shared_from_this()](error_code error, std::size_t) {
+                     self->OnAnswer(error);
+                   });
+}
+
+void leaf_pool::state::connection::OnWritten(error_code error) {
+  writing_ = false;
+  if (closed_ || !error || !current_) return;
+  // The answer may still arrive; the read decides.
+}
+
+void leaf_pool::state::connection::OnAnswer(error_code error) {
+  if (closed_ || !current_) return;
+  if (error) {
+    const bool protocol =
+        error.category() ==
+            http::make_error_code(http::error::bad_version).category() &&
+        error != http::error::end_of_stream &&
+        error != http::error::partial_message;
+    if (protocol) ++owner_->counters.malformed;
+    FailCall(protocol ? leaf_failure::malformed : leaf_failure::broken);
+    Close();
+    return;
+  }
+  const unsigned status = parser_->get().result_int();
+  if (status >= 100 && status < 200) {
+    StartRead();
+    return;
+  }
+  Finish(error);
+}
+
+void leaf_pool::state::connection::Finish(error_code) {
+  platform::http_response message = parser_->release();
+  // Bytes after the answer belong to no request, and what is still being
+  // written would be read as the next one.
+  const bool reusable = message.keep_alive() && !message.need_eof() &&
+                        buffer_.size() == 0 && !writing_;
+  if (const auto limit = StatedIdleLimit(message)) {
+    idle_limit_ = *limit - std::min<clock::duration>(kIdleMargin, *limit);
+  }
+  gateway::leaf_answer answer = platform::DecodeLeafAnswer(std::move(message));
+  const gateway::send_leaf_effect done = std::move(*current_);
+  current_.reset();
+  owner_->busy.erase(static_cast<std::uint64_t>(done.call));
+  const bool crossed =
+      !answer.attempt.empty() && answer.attempt != done.request->attempt;
+  const auto self = shared_from_this();
+  if (crossed) {
+    ++owner_->counters.malformed;
+    owner_->Fail(done.call, leaf_failure::malformed);
+    Close();
+    return;
+  }
+  if (reusable) {
+    BecomeIdle();
+  } else {
+    Close();
+  }
+  owner_->sink(gateway::leaf_answer_event{done.call, std::move(answer)});
+}
+
+void leaf_pool::state::connection::BecomeIdle() {
+  idle_since_ = clock::now();
+  parser_.reset();
+  WatchIdle();
+  owner_->OnIdle(handle_, shared_from_this());
+}
+
+void leaf_pool::state::connection::WatchIdle() {
+  if (watching_) return;
+  watching_ = true;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code) {
+                       self->watching_ = false;
+                       if (self->closed_ || self->current_) return;
+                       // An end, or bytes that belong to no request.
+                       self->Close();
+                     });
+}
+
+void leaf_pool::state::connection::FailCall(leaf_failure failure) {
+  if (!current_) return;
+  const leaf_call call = current_->call;
+  current_.reset();
+  owner_->busy.erase(static_cast<std::uint64_t>(call));
+  owner_->Fail(call, failure);
+}
+
+void leaf_pool::state::connection::Close() {
+  if (closed_) return;
+  const auto self = shared_from_this();
+  closed_ = true;
+  if (current_) {
+    owner_->busy.erase(static_cast<std::uint64_t>(current_->call));
+    current_.reset();
+  }
+  error_code ignored;
+  timer_.cancel();
+  socket_.close(ignored);
+  owner_->OnClosed(handle_, self);
+}
+
+leaf_pool::state::leaf& leaf_pool::state::Leaf(leaf_handle handle,
+                                               const std::string& address) {
+  leaf& found = leafs[handle];
+  if (found.address.empty()) found.address = address;
+  return found;
+}
+
+void leaf_pool::state::Fail(leaf_call call, leaf_failure failure) {
+  // Posted, because the receiver may send to the same leaf at once.
+  asio::post(io, [self = shared_from_this(), call, failure] {
+    self->sink(gateway::leaf_failure_event{call, failure});
+  });
+}
+
+leaf_pool::state::connection_ptr leaf_pool::state::TakeIdle(leaf& from,
+                                                            bool fresh_only) {
+  if (from.idle.empty()) return nullptr;
+  const connection_ptr best = from.idle.back();
+  const auto now = clock::now();
+  if (fresh_only && now - best->IdleSince() > kFreshIdle) return nullptr;
+  from.idle.pop_back();
+  return best;
+}
+
+/** Gives pending requests to idle connections and opens more. */
+void leaf_pool::state::Serve(leaf_handle handle) {
+  const auto found = leafs.find(handle);
+  if (found == leafs.end()) return;
+  leaf& to = found->second;
+  while (!to.pending.empty()) {
+    const connection_ptr idle = TakeIdle(to, !to.pending.front().idempotent);
+    if (!idle) break;
+    gateway::send_leaf_effect next = std::move(to.pending.front());
+    to.pending.pop_front();
+    idle->Send(std::move(next));
+  }
+  while (to.opening < to.pending.size()) {
+    if (to.all.size() >= to.most && to.idle.empty()) break;
+    // An idle connection that is too old makes room for a new one.
+    if (to.all.size() >= to.most) to.idle.front()->Close();
+    if (to.all.size() >= to.most) break;
+    Open(handle, to);
+  }
+}
+
+void leaf_pool::state::Open(leaf_handle handle, leaf& to) {
+  ++to.opening;
+  const auto fresh = std::make_shared<connection>(shared_from_this(), handle);
+  to.all.push_back(fresh);
+  fresh->Open(to.address);
+}
+
+void leaf_pool::state::OnOpened(leaf_handle handle, const connection_ptr& one,
+                                bool ok) {
+  leaf& to = leafs[handle];
+  --to.opening;
+  if (std::exchange(to.probed, false)) {
+    asio::post(io, [self = shared_from_this(), handle, ok] {
+      self->sink(gateway::leaf_connected_event{handle, ok});
+    });
+  }
+  if (ok) {
+    ++counters.opened;
+    return;
+  }
+  ++counters.failed;
+  // While nothing else is open, no other connection can be expected to work.
+  const bool hopeless = to.all.size() == to.opening + 1;
+  while (hopeless && !to.pending.empty()) {
+    Fail(to.pending.front().call, leaf_failure::not_sent);
+    to.pending.pop_front();
+  }
+  one->Close();
+}
+
+void leaf_pool::state::OnIdle(leaf_handle handle, const connection_ptr& one) {
+  leaf& to = leafs[handle];
+  if (to.forgotten) {
+    one->Close();
+    return;
+  }
+  to.idle.push_back(one);
+  Serve(handle);
+}
+
+void leaf_pool::state::OnClosed(leaf_handle handle, const connection_ptr& one) {
+  const auto found = leafs.find(handle);
+  if (found == leafs.end()) return;
+  leaf& to = found->second;
+  std::erase(to.all, one);
+  std::erase(to.idle, one);
+  if (to.forgotten && to.all.empty() && to.pending.empty()) {
+    leafs.erase(found);
+    return;
+  }
+  Serve(handle);
+}
+
+leaf_pool::leaf_pool(asio::io_context& io, event_sink sink)
+    : state_(std::make_shared<state>(io, std::move(sink))) {}
+
+leaf_pool::~leaf_pool() {
+  state_->sink = [](gateway::event) {};
+  for (auto& [handle, to] : state_->leafs) to.pending.clear();
+  std::vector<state::connection_ptr> all;
+  for (auto& [handle, to] : state_->leafs) {
+    all.insert(all.end(), to.all.begin(), to.all.end());
+  }
+  for (const auto& one : all) one->Close();
+}
+
+void leaf_pool::Send(gateway::send_leaf_effect effect) {
+  const leaf_handle handle = effect.leaf;
+  auto& to = state_->Leaf(handle, effect.address);
+  to.most = std::max<std::uint32_t>(effect.connections, 1);
+  to.pending.push_back(std::move(effect));
+  state_->Serve(handle);
+}
+
+void leaf_pool::Cancel(leaf_call call) {
+  const auto found = state_->busy.find(static_cast<std::uint64_t>(call));
+  if (found != state_->busy.end()) {
+    if (const auto one = found->second.lock()) one->Close();
+    return;
+  }
+  for (auto& [handle, to] : state_->leafs) {
+    const auto erased = std::erase_if(
+        to.pending, [&](const auto& one) { return one.call == call; });
+    if (erased > 0) return;
+  }
+}
+
+void leaf_pool::Connect(const gateway::connect_leaf_effect& effect) {
+  auto& to = state_->Leaf(effect.leaf, effect.address);
+  if (!to.idle.empty()) {
+    asio::post(state_->io, [held = state_, leaf = effect.leaf] {
+      held->sink(gateway::leaf_connected_event{leaf, true});
+    });
+    return;
+  }
+  to.probed = true;
+  if (to.opening == 0) state_->Open(effect.leaf, to);
+}
+
+void leaf_pool::Forget(leaf_handle leaf) {
+  const auto found = state_->leafs.find(leaf);
+  if (found == state_->leafs.end()) return;
+  found->second.forgotten = true;
+  const auto idle = found->second.idle;
+  for (const auto& one : idle) one->Close();
+}
+
+void leaf_pool::Sweep() {
+  const auto now = clock::now();
+  std::vector<state::connection_ptr> old;
+  for (const auto& [handle, to] : state_->leafs) {
+    for (const auto& one : to.idle) {
+      if (now >= one->IdleUntil()) old.push_back(one);
+    }
+  }
+  for (const auto& one : old) one->Close();
+}
+
+leaf_pool_counters leaf_pool::Counters() const {
+  leaf_pool_counters counters = state_->counters;
+  for (const auto& [handle, to] : state_->leafs) {
+    counters.open += to.all.size();
+  }
+  return counters;
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/peer_link.cpp
@@ -0,0 +1,144 @@
+/** @file peer_link.cpp Datagrams of membership messages. */
+
+#include "edge/peer_link.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <utility>
+#include <variant>
+
+#include "edge/http_port.h"
+#include "edge/process_time.h"
+#include "wire/peer_codec.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+udp::endpoint DatagramEndpoint(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  return {endpoint.address(), endpoint.port()};
+}
+
+}  // namespace
+
+peer_link::peer_link(boost::asio::io_context& io, member_record self,
+                     membership_settings settings, std::string shared_key,
+                     std::uint64_t seed)
+    : socket_(io, DatagramEndpoint(self.peer_address)),
+      timer_(io),
+      members_(self, std::move(settings), seed),
+      shared_key_(std::move(shared_key)) {}
+
+void peer_link::Start(std::function<void()> on_change) {
+  on_change_ = std::move(on_change);
+  effect_list effects;
+  members_.Start(Now(), effects);
+  // No list of hosts is published here; only the seeds are known.
+  members_.OnHostList({}, Now(), effects);
+  Carry(effects);
+  Receive();
+  Wake();
+}
+
+void peer_link::SetReady(bool ready) {
+  members_.SetReady(ready);
+  Tick();
+}
+
+void peer_link::SetLeaving() {
+  members_.SetLeaving();
+  Tick();
+}
+
+void peer_link::SetRevision(std::uint64_t revision) {
+  members_.SetRevision(revision_id{revision});
+}
+
+std::uint64_t peer_link::HighestRevision() const {
+  std::uint64_t highest = 0;
+  for (const member_record& member : members_.Members()) {
+    highest = std::max(highest, Raw(member.revision));
+  }
+  return highest;
+}
+
+void peer_link::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(buffer_), sender_,
+      [this](error_code error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted) return;
+        if (!error) OnDatagram({buffer_.data(), size});
+        Receive();
+      });
+}
+
+void peer_link::OnDatagram(std::string_view bytes) {
+  ++counters_.received;
+  counters_.bytes_received += bytes.size();
+  peer_message message;
+  try {
+    message = DecodePeerMessage(bytes, shared_key_);
+  } catch (const wire_error&) {
+    ++counters_.refused;
+    return;
+  }
+  effect_list effects;
+  const time_point now = Now();
+  if (const auto* one = std::get_if<probe>(&message.body)) {
+    members_.OnProbe(message, *one, now, effects);
+  } else if (const auto* one = std::get_if<probe_request>(&message.body)) {
+    members_.OnProbeRequest(message, *one, now, effects);
+  } else if (const auto* one = std::get_if<probe_ack>(&message.body)) {
+    members_.OnProbeAck(message, *one, now, effects);
+  } else if (const auto* one = std::get_if<member_sync>(&message.body)) {
+    members_.OnMemberSync(message, *one, now, effects);
+  } else {
+    ++counters_.refused;
+  }
+  members_.OnTick(now, effects);
+  Carry(effects);
+  Wake();
+}
+
+void peer_link::Carry(effect_list& effects) {
+  for (effect& one : effects) {
+    auto* send = std::get_if<send_peer_effect>(&one);
+    if (send == nullptr) continue;
+    peer_message message;
+    message.from = members_.Self().ref;
+    message.to_incarnation = send->to_incarnation;
+    message.revision = members_.Self().revision;
+    message.from_address = members_.Self().peer_address;
+    message.body = std::move(send->body);
+    const std::string bytes = EncodePeerMessage(message, shared_key_);
+    error_code ignored;  // A datagram that is not sent is a lost one.
+    socket_.send_to(boost::asio::buffer(bytes), DatagramEndpoint(send->address),
+                    0, ignored);
+    ++counters_.sent;
+    counters_.bytes_sent += bytes.size();
+  }
+  effects.clear();
+  if (members_.Generation() == seen_generation_) return;
+  seen_generation_ = members_.Generation();
+  if (on_change_) on_change_();
+}
+
+void peer_link::Tick() {
+  effect_list effects;
+  members_.OnTick(Now(), effects);
+  Carry(effects);
+  Wake();
+}
+
+void peer_link::Wake() {
+  timer_.expires_at(SteadyTime(members_.NextWake()));
+  timer_.async_wait([this](error_code error) {
+    if (!error) Tick();
+  });
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/peer_link.h
@@ -0,0 +1,70 @@
+/** @file peer_link.h Membership of the hosts over UDP. */
+
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/membership.h"
+
+namespace corianderrail::edge {
+
+/** Counters of a peer_link, all rising. */
+struct peer_link_counters {
+  std::uint64_t sent = 0;            ///< Datagrams sent.
+  std::uint64_t received = 0;        ///< Datagrams received.
+  std::uint64_t refused = 0;         ///< Datagrams that could not be decoded.
+  std::uint64_t bytes_sent = 0;      ///< Bytes of these.
+  std::uint64_t bytes_received = 0;  ///< Bytes of these.
+};
+
+/**
+ * Runs the membership reducer over datagrams. A connection to a peer could go
+ * silent unnoticed; a datagram is lost alone, which membership expects.
+ */
+class peer_link {
+ public:
+  /** @throws boost::system::system_error when the address cannot be used. */
+  peer_link(boost::asio::io_context& io, member_record self,
+            membership_settings settings, std::string shared_key,
+            std::uint64_t seed);
+
+  /** Joins; `on_change` is called when the members changed. */
+  void Start(std::function<void()> on_change);
+
+  void SetReady(bool ready);
+  void SetLeaving();
+  void SetRevision(std::uint64_t revision);
+
+  std::vector<member_record> Members() const { return members_.Members(); }
+
+  /** Highest revision that any member claims to know. */
+  std::uint64_t HighestRevision() const;
+
+  const peer_link_counters& Counters() const { return counters_; }
+
+ private:
+  void Receive();
+  void OnDatagram(std::string_view bytes);
+  void Carry(effect_list& effects);
+  void Tick();
+  void Wake();
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  membership members_;
+  std::string shared_key_;
+  std::function<void()> on_change_;
+  std::uint64_t seen_generation_ = 0;
+  peer_link_counters counters_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::array<char, 65536> buffer_{};
+};
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/table/decision_table.h
@@ -0,0 +1,34 @@
+/** @file decision_table.h Names and rates of logged decisions. */
+
+#pragma once
+
+#include <array>
+#include <string_view>
+
+#include "gateway/gateway_type.h"
+
+namespace corianderrail::edge {
+
+/** How one kind of decision is logged. */
+struct decision_row {
+  std::string_view name;    ///< Value of the member "event".
+  double lines_per_second;  ///< Rate that is kept up.
+  double burst;             ///< Lines at once.
+};
+
+/** Failures and refusals may take more lines than changes of state. At 300
+ *  bytes a line all kinds together write less than 40 KB/s. */
+inline constexpr std::array<decision_row, gateway::kDecisions> kDecisionRows = {
+    {
+        {"request_refused", 40, 200},
+        {"answer_partial", 20, 100},
+        {"answer_late", 20, 100},
+        {"request_repeated", 5, 20},
+        {"leaf_suspected", 10, 50},
+        {"leaf_restored", 10, 50},
+        {"leaf_listed", 10, 200},
+        {"leaf_delisted", 10, 200},
+        {"config_in_force", 5, 20},
+    }};
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/gateway/connection_share.cpp
@@ -0,0 +1,33 @@
+/** @file connection_share.cpp Division of a leaf's connections. */
+
+#include "gateway/connection_share.h"
+
+#include <algorithm>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** Parts of a leaf's connections for the hosts near it and the others. */
+constexpr double kNearPart = 0.5;
+constexpr double kFarPart = 0.35;
+
+/** More open requests than this only queue at the leaf. */
+constexpr std::uint32_t kMostConnections = 64;
+
+/** Leafs whose limit is unknown. */
+constexpr std::uint32_t kDefaultLimit = 16;
+
+}  // namespace
+
+std::uint32_t ConnectionShare(std::uint32_t leaf_limit, const fleet_size& fleet,
+                              bool near) {
+  const double limit = leaf_limit == 0 ? kDefaultLimit : leaf_limit;
+  const double part = near ? kNearPart : kFarPart;
+  const std::uint32_t hosts =
+      std::max<std::uint32_t>(near ? fleet.near_hosts : fleet.far_hosts, 1);
+  const auto share = static_cast<std::uint32_t>(limit * part / hosts);
+  return std::clamp<std::uint32_t>(share, 1, kMostConnections);
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/gateway.cpp
@@ -0,0 +1,298 @@
+/** @file gateway.cpp Events of the gateway, configuration and leafs. */
+
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/gateway_state.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** Pause between looks at leafs that left or were ejected. */
+constexpr duration kCheckPeriod = std::chrono::milliseconds(100);
+
+/** After its deadline a call is given this time before the connection is
+ *  closed, because the leaf's own answer at its limit is evidence. */
+constexpr duration kCallGrace = std::chrono::milliseconds(60);
+
+}  // namespace
+
+gateway::gateway(gateway_settings settings)
+    : settings_(std::move(settings)), directory_(settings_.leafs) {
+  slack_share_ = settings_.repeats.slack;
+}
+
+gateway::~gateway() = default;
+
+void gateway::Reduce(event happening, time_point now, effect_list& effects) {
+  effects_ = &effects;
+  std::visit([&](auto& one) { On(one, now); }, happening);
+  effects_ = nullptr;
+}
+
+time_point gateway::NextWake() const {
+  return timers_.empty() ? next_check_
+                         : std::min(timers_.top().at, next_check_);
+}
+
+config_version gateway::Version() const {
+  return routes_ ? routes_->Config().version : config_version{};
+}
+
+bool gateway::CanServe() const {
+  return routes_ != nullptr && directory_.Size() > 0;
+}
+
+const client_limits& gateway::Limits() const {
+  static const client_limits defaults;
+  return routes_ ? routes_->Config().limits : defaults;
+}
+
+void gateway::On(client_gone_event& happening, time_point now) {
+  const auto found =
+      exchanges_.find(static_cast<std::uint64_t>(happening.exchange));
+  if (found == exchanges_.end()) return;
+  exchange& one = *found->second;
+  ++counters_.abandoned;
+  for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
+  std::vector<std::shared_ptr<service_state>> freed;
+  for (const part& piece : one.parts) freed.push_back(piece.service);
+  // A request that must not run twice is left to its leaf: ending it there
+  // would leave unknown how far it got.
+  if (one.Idempotent()) CancelCalls(one);
+  exchanges_.erase(found);
+  for (const auto& service : freed) ServeWaiting(*service, now);
+}
+
+void gateway::On(leaf_answer_event& happening, time_point now) {
+  const auto id = static_cast<std::uint64_t>(happening.call);
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  open_request call = found->second;
+  calls_.erase(found);
+  leaf_answer& answer = happening.answer;
+  leaf_state* leaf = directory_.Find(call.leaf);
+  const bool success = answer.status >= 200 && answer.status < 300;
+  const bool usable = !answer.proof.empty() && !answer.encoded;
+  if (leaf != nullptr) {
+    if (answer.status == 421) {
+      leaf->evidence.Forget(happening.call);
+      leaf->replaced = true;
+      LogSuspicion(*leaf, "another leaf answers at its address");
+    } else if (answer.not_run) {
+      ++counters_.leaf_sheds;
+      leaf->evidence.OnShed(happening.call, now);
+    } else if (usable && answer.status < 500) {
+      leaf->evidence.OnAnswer(happening.call, now);
+      if (success && call.stats != nullptr) {
+        call.stats->Add(leaf->record.zone, now - call.sent, now);
+      }
+    } else {
+      ++counters_.leaf_failures;
+      leaf->evidence.OnErrorStatus(happening.call, now);
+      if (leaf->evidence.OnProbation()) LogSuspicion(*leaf, "errors");
+    }
+  }
+  const auto owner = exchanges_.find(call.exchange);
+  if (owner != exchanges_.end()) {
+    std::erase(owner->second->calls, happening.call);
+    TakeAnswer(*owner->second, call.part, call, answer, now);
+    Advance(call.exchange, now);
+  }
+  ServeWaiting(*call.service, now);
+}
+
+void gateway::On(leaf_failure_event& happening, time_point now) {
+  const auto id = static_cast<std::uint64_t>(happening.call);
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const open_request call = found->second;
+  calls_.erase(found);
+  ++counters_.leaf_failures;
+  if (leaf_state* leaf = directory_.Find(call.leaf)) {
+    const bool before = leaf->evidence.OnProbation();
+    leaf->evidence.OnFailure(happening.call, happening.failure, now);
+    if (!before && leaf->evidence.OnProbation()) {
+      LogSuspicion(*leaf, happening.failure == leaf_failure::not_sent
+                              ? "no connection"
+                              : "requests without an answer");
+    }
+  }
+  const auto owner = exchanges_.find(call.exchange);
+  if (owner != exchanges_.end()) {
+    exchange& one = *owner->second;
+    std::erase(one.calls, happening.call);
+    --one.parts[call.part].open;
+    const bool ran = happening.failure != leaf_failure::not_sent;
+    if (!ran) std::erase(one.parts[call.part].asked, call.leaf);
+    TakeFailure(one, call.part, ran, now);
+    Advance(call.exchange, now);
+  }
+  ServeWaiting(*call.service, now);
+}
+
+void gateway::On(leaf_connected_event& happening, time_point now) {
+  leaf_state* leaf = directory_.Find(happening.leaf);
+  if (leaf == nullptr) return;
+  leaf->connecting = false;
+  if (!leaf->evidence.OnProbation()) return;
+  if (!happening.open) {
+    leaf->evidence.OnProbeFailed(now);
+    return;
+  }
+  leaf->evidence.OnProbeSucceeded();
+  effects_->push_back(log_effect{
+      decision::leaf_restored,
+      leaf->record.instance,
+      {{"service", leaf->record.service}, {"address", leaf->record.address}}});
+  ServeWaiting(*Service(leaf->record.service), now);
+}
+
+void gateway::On(config_event& happening, time_point now) {
+  if (happening.config->version <= Version()) return;
+  routes_ = std::make_unique<route_table>(happening.config);
+  named_services_.clear();
+  for (const route& one : happening.config->routes) {
+    for (const auto& target : one.targets) {
+      named_services_.insert(target.service);
+    }
+    named_services_.insert(one.shards.begin(), one.shards.end());
+  }
+  for (const upstream_service& one : happening.config->services) {
+    Service(one.name)->max_connections = one.max_connections;
+  }
+  Prune();
+  directory_.Visit([&](leaf_state& leaf) {
+    if (SendsTo(leaf.record.service)) Connect(leaf);
+  });
+  next_check_ = std::min(next_check_, now);
+  effects_->push_back(log_effect{
+      decision::config_in_force,
+      std::to_string(static_cast<std::uint64_t>(happening.config->version)),
+      {{"routes", std::to_string(happening.config->routes.size())},
+       {"services", std::to_string(happening.config->services.size())}}});
+}
+
+void gateway::On(registry_event& happening, time_point now) {
+  std::set<std::string> touched;
+  for (const registry_change& change : happening.changes) {
+    for (const leaf_handle ended : directory_.Apply(change, now)) {
+      effects_->push_back(forget_leaf_effect{ended});
+    }
+    const bool serves = change.record && !change.record->draining;
+    if (serves) touched.insert(change.record->service);
+    effects_->push_back(log_effect{
+        serves ? decision::leaf_listed : decision::leaf_delisted,
+        change.key,
+        {{"revision", std::to_string(change.revision)},
+         {"reason", change.unusable ? "unreadable entry"
+                    : change.record
+                        ? change.record->draining ? "draining" : "ready"
+                        : "removed"}}});
+  }
+  for (const std::string& service : touched) {
+    if (SendsTo(service)) {
+      for (leaf_state* leaf : directory_.Of(service)) Connect(*leaf);
+    }
+    ServeWaiting(*Service(service), now);
+  }
+}
+
+void gateway::On(fleet_event& happening, time_point) {
+  near_fleet_ = happening.own_region;
+  far_fleet_ = happening.other_regions;
+  const std::uint32_t hosts = std::max(happening.hosts, 1u);
+  // Half of the slack stays unspent: a host that was replaced may have spent
+  // its share in the same window.
+  slack_share_ = settings_.repeats.slack / (2.0 * hosts);
+  for (auto& [name, service] : services_) {
+    service->budget.SetSlack(slack_share_);
+  }
+}
+
+void gateway::On(wake_event&, time_point now) {
+  while (!timers_.empty() && timers_.top().at <= now) {
+    const timer due = timers_.top();
+    timers_.pop();
+    OnTimer(due, now);
+  }
+  if (now < next_check_) return;
+  next_check_ = now + kCheckPeriod;
+  CheckLeafs(now);
+}
+
+void gateway::OnTimer(const timer& due, time_point now) {
+  if (!due.is_call) {
+    Advance(due.id, now);
+    return;
+  }
+  const auto found = calls_.find(due.id);
+  if (found == calls_.end()) return;
+  if (now < found->second.deadline + kCallGrace) {
+    timers_.push({found->second.deadline + kCallGrace, true, due.id});
+    return;
+  }
+  effects_->push_back(cancel_leaf_effect{leaf_call{due.id}});
+  leaf_failure_event silent{leaf_call{due.id}, leaf_failure::timed_out};
+  On(silent, now);
+}
+
+void gateway::CheckLeafs(time_point now) {
+  for (const leaf_handle ended : directory_.Expire(now)) {
+    effects_->push_back(forget_leaf_effect{ended});
+  }
+  directory_.Visit([&](leaf_state& leaf) {
+    const bool due = leaf.evidence.OnProbation() && !leaf.evidence.Ejected(now);
+    if (due && leaf.listed != listing::removed && !leaf.replaced) {
+      Connect(leaf);
+    }
+  });
+}
+
+void gateway::LogSuspicion(const leaf_state& leaf, std::string_view reason) {
+  effects_->push_back(
+      log_effect{decision::leaf_suspected,
+                 leaf.record.instance,
+                 {{"service", leaf.record.service},
+                  {"address", leaf.record.address},
+                  {"reason", std::string(reason)},
+                  {"open", std::to_string(leaf.evidence.Open())}}});
+}
+
+/** Forgets routes and services that no configuration names any more. */
+void gateway::Prune() {
+  std::set<std::string_view> routes;
+  for (const route& one : routes_->Config().routes) routes.insert(one.name);
+  std::erase_if(
+      stats_, [&](const auto& entry) { return !routes.contains(entry.first); });
+  std::erase_if(services_, [&](const auto& entry) {
+    return !SendsTo(entry.first) && directory_.Of(entry.first).empty() &&
+           entry.second.use_count() == 1;
+  });
+}
+
+const std::shared_ptr<gateway::service_state>& gateway::Service(
+    const std::string& name) {
+  auto& held = services_[name];
+  if (!held) {
+    repeat_settings repeats = settings_.repeats;
+    repeats.slack = slack_share_;
+    held = std::make_shared<service_state>(name, repeats);
+  }
+  return held;
+}
+
+bool gateway::SendsTo(const std::string& service) const {
+  return named_services_.contains(service);
+}
+
+void gateway::Connect(leaf_state& leaf) {
+  if (leaf.connecting || leaf.listed != listing::listed) return;
+  leaf.connecting = true;
+  effects_->push_back(connect_leaf_effect{leaf.handle, leaf.record.address});
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/gateway.h
@@ -0,0 +1,150 @@
+/** @file gateway.h Forwards requests of clients to leafs: the reducer. */
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "gateway/answer_timing.h"
+#include "gateway/gateway_type.h"
+#include "gateway/leaf_choice.h"
+#include "gateway/leaf_directory.h"
+#include "gateway/repeat_budget.h"
+#include "gateway/route_stats.h"
+#include "gateway/route_table.h"
+
+namespace corianderrail::gateway {
+
+/** Figures that the gateway is built from. */
+struct gateway_settings {
+  location here;                  ///< Where this host stands.
+  repeat_settings repeats;        ///< Ratio and window; slack of the fleet.
+  leaf_directory_settings leafs;  ///< Leafs that leave.
+  duration caller_allowance = std::chrono::milliseconds(
+      14);  ///< Part of the objective for the way to the client and back.
+};
+
+/**
+ * `Reduce(event, now) -> effects` with the state inside. No I/O, clock, thread
+ * or random device.
+ */
+class gateway {
+ public:
+  explicit gateway(gateway_settings settings);
+  ~gateway();
+  gateway(const gateway&) = delete;
+  gateway& operator=(const gateway&) = delete;
+
+  /** Handles one event; appends what must be done. */
+  void Reduce(event happening, time_point now, effect_list& effects);
+
+  /** When the next wake_event is wanted. */
+  time_point NextWake() const;
+
+  /** Version in force; 0 while none is known. */
+  config_version Version() const;
+
+  /** True once a configuration and a leaf are known. */
+  bool CanServe() const;
+
+  /** Client bounds in force. */
+  const client_limits& Limits() const;
+
+  const gateway_counters& Counters() const { return counters_; }
+  std::size_t OpenExchanges() const { return exchanges_.size(); }
+  std::size_t OpenCalls() const { return calls_.size(); }
+  std::size_t Leafs() const { return directory_.Size(); }
+
+ private:
+  struct part;
+  struct exchange;
+  struct open_request;
+  struct service_state;
+
+  /** Order of waiting parts: rank, then arrival. */
+  using waiting_key = std::tuple<std::uint32_t, std::uint64_t, std::size_t>;
+
+  /** A moment at which something may be due. */
+  struct timer {
+    time_point at{};       ///< When.
+    bool is_call = false;  ///< A leaf call, else an exchange.
+    std::uint64_t id = 0;  ///< Which one.
+    bool operator>(const timer& other) const { return at > other.at; }
+  };
+
+  // gateway.cpp
+  void On(request_event& happening, time_point now);
+  void On(client_gone_event& happening, time_point now);
+  void On(leaf_answer_event& happening, time_point now);
+  void On(leaf_failure_event& happening, time_point now);
+  void On(leaf_connected_event& happening, time_point now);
+  void On(config_event& happening, time_point now);
+  void On(registry_event& happening, time_point now);
+  void On(fleet_event& happening, time_point now);
+  void On(wake_event& happening, time_point now);
+  void OnTimer(const timer& due, time_point now);
+  void CheckLeafs(time_point now);
+  void LogSuspicion(const leaf_state& leaf, std::string_view reason);
+  const std::shared_ptr<service_state>& Service(const std::string& name);
+  void Prune();
+  bool SendsTo(const std::string& service) const;
+  void Connect(leaf_state& leaf);
+
+  // gateway_calls.cpp
+  void Place(exchange& one, std::size_t index, time_point now);
+  void Hedge(exchange& one, std::size_t index, time_point now);
+  bool CollectCandidates(const exchange& one, const part& piece,
+                         time_point now);
+  void Send(exchange& one, std::size_t index, std::size_t candidate,
+            time_point now);
+  duration Alternative(std::size_t chosen) const;
+  bool WaitForRoom(exchange& one, std::size_t index, time_point now);
+  void ServeWaiting(service_state& service, time_point now);
+  void StopWaiting(exchange& one, std::size_t index);
+  std::uint32_t Limit(const leaf_state& leaf, time_point now) const;
+  void CancelCalls(exchange& one);
+
+  // gateway_answers.cpp
+  void Advance(std::uint64_t id, time_point now);
+  void StartParts(exchange& one, time_point now);
+  bool FinishPlain(exchange& one, time_point now);
+  bool FinishGather(exchange& one, time_point now);
+  void TakeAnswer(exchange& one, std::size_t index, open_request& call,
+                  leaf_answer& answer, time_point now);
+  void TakeFailure(exchange& one, std::size_t index, bool ran, time_point now);
+  void Answer(exchange& one, client_answer answer, time_point now);
+  void Refuse(exchange& one, refusal_cause cause, duration retry_after,
+              time_point now);
+  void RefuseFailed(exchange& one, refusal_cause cause, time_point now);
+  void Schedule(exchange& one, time_point at);
+
+  gateway_settings settings_;
+  std::unique_ptr<route_table> routes_;
+  leaf_directory directory_;
+  fleet_size near_fleet_;
+  fleet_size far_fleet_;
+  double slack_share_ = 0;
+  std::set<std::string, std::less<>> named_services_;
+  std::unordered_map<std::string, std::shared_ptr<service_state>> services_;
+  std::unordered_map<std::string, std::shared_ptr<route_stats>> stats_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> exchanges_;
+  std::unordered_map<std::uint64_t, open_request> calls_;
+  std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
+  std::uint64_t next_call_ = 1;
+  std::uint64_t next_arrival_ = 1;
+  time_point next_check_{};
+  gateway_counters counters_;
+  effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
+
+  // Reused between calls to avoid allocations.
+  std::vector<leaf_candidate> candidates_;
+  std::vector<leaf_state*> candidate_leafs_;
+};
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/gateway_answers.cpp
@@ -0,0 +1,326 @@
+/** @file gateway_answers.cpp From the arrival of a request to its answer. */
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "gateway/gateway.h"
+#include "gateway/gateway_state.h"
+#include "gateway/record_merge.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/** When a client may find what was missing. */
+constexpr duration kRetrySoon = std::chrono::milliseconds(50);
+constexpr duration kRetryConfig = std::chrono::milliseconds(400);
+constexpr duration kRetryNoLeaf = std::chrono::milliseconds(300);
+
+std::string Micros(duration value) { return std::to_string(value.count()); }
+
+bool IsSuccess(const leaf_answer& answer) {
+  return answer.status >= 200 && answer.status < 300 && !answer.proof.empty() &&
+         !answer.encoded;
+}
+
+/** An answer of the leaf itself that is passed on as it is. */
+bool IsClientFault(const leaf_answer& answer) {
+  if (answer.encoded || answer.status == 421) return false;
+  if (answer.status == 429 || answer.status == 408) return false;
+  const bool client_fault = answer.status >= 400 && answer.status < 500;
+  return client_fault && (!answer.proof.empty() || answer.not_run);
+}
+
+std::string_view CauseName(refusal_cause cause) {
+  constexpr std::string_view kNames[] = {
+      "none",           "bad_request", "no_configuration", "no_route",
+      "no_leaf",        "overloaded",  "not_run",          "leaf_failed",
+      "too_few_shards", "timed_out"};
+  return kNames[static_cast<std::size_t>(cause)];
+}
+
+client_answer Forwarded(leaf_answer& from) {
+  client_answer answer;
+  answer.status = from.status;
+  answer.proof = std::move(from.proof);
+  answer.attempt = std::move(from.attempt);
+  answer.fields = std::move(from.fields);
+  answer.body = std::move(from.body);
+  return answer;
+}
+
+}  // namespace
+
+void gateway::On(request_event& happening, time_point now) {
+  ++counters_.requests;
+  const auto id = static_cast<std::uint64_t>(happening.exchange);
+  auto fresh = std::make_unique<exchange>();
+  exchange& one = *fresh;
+  one.id = happening.exchange;
+  one.request = std::move(happening.request);
+  one.arrived = now;
+  one.arrival = id;
+  exchanges_.emplace(id, std::move(fresh));
+  if (!routes_) {
+    Refuse(one, refusal_cause::no_configuration, kRetryConfig, now);
+    return;
+  }
+  one.path = routes_->Find(one.request->host, one.request->path);
+  if (one.path == nullptr) {
+    Refuse(one, refusal_cause::no_route, {}, now);
+    return;
+  }
+  one.config = routes_->Shared();
+  auto& stats = stats_[one.path->name];
+  if (!stats) stats = std::make_shared<route_stats>();
+  one.stats = stats;
+  const duration limit = one.path->timeout;
+  one.deadline = now + std::min(one.request->time_left.value_or(limit), limit);
+  one.goal_at = now + std::max(one.path->goal - settings_.caller_allowance,
+                               one.path->goal / 2);
+  StartParts(one, now);
+  Advance(id, now);
+}
+
+void gateway::StartParts(exchange& one, time_point now) {
+  if (one.path->Gathers()) {
+    one.parts.resize(one.path->shards.size());
+    for (std::size_t i = 0; i < one.parts.size(); ++i) {
+      one.parts[i].service = Service(one.path->shards[i]);
+    }
+  } else {
+    one.parts.resize(1);
+    const auto& targets = one.path->targets;
+    const std::size_t turn = one.stats->turn.Next(targets);
+    one.parts[0].service = Service(targets[turn].service);
+  }
+  for (std::size_t i = 0; i < one.parts.size(); ++i) Place(one, i, now);
+  if (one.path->Gathers()) Schedule(one, one.goal_at);
+  Schedule(one, one.deadline);
+}
+
+void gateway::Schedule(exchange& one, time_point at) {
+  if (at == kNever) return;
+  timers_.push({at, false, static_cast<std::uint64_t>(one.id)});
+}
+
+void gateway::Advance(std::uint64_t id, time_point now) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) return;
+  exchange& one = *found->second;
+  for (std::size_t i = 0; i < one.parts.size(); ++i) {
+    part& piece = one.parts[i];
+    if (piece.state == part::phase::open && piece.hedge_at <= now) {
+      Hedge(one, i, now);
+    }
+  }
+  if (one.path->Gathers()) {
+    FinishGather(one, now);
+  } else {
+    FinishPlain(one, now);
+  }
+}
+
+void gateway::TakeAnswer(exchange& one, std::size_t index, open_request& call,
+                         leaf_answer& answer, time_point now) {
+  part& piece = one.parts[index];
+  --piece.open;
+  if (piece.state == part::phase::answered) return;
+  const bool final =
+      IsSuccess(answer) || (!one.path->Gathers() && IsClientFault(answer));
+  if (final) {
+    StopWaiting(one, index);
+    piece.state = part::phase::answered;
+    piece.hedge_at = kNever;
+    piece.answer = std::move(answer);
+    if (!piece.answer.not_run) one.may_have_run = true;
+    return;
+  }
+  const bool ran = !answer.not_run && answer.status != 421;
+  // The address belongs to another leaf, so this one was not asked.
+  if (answer.status == 421) std::erase(piece.asked, call.leaf);
+  const bool keeps = ran && answer.status >= 500 && answer.status != 503 &&
+                     !answer.proof.empty() && !answer.encoded;
+  if (keeps) one.failure = std::move(answer);
+  TakeFailure(one, index, ran, now);
+}
+
+/** Asks another leaf after a failure, if that is allowed. */
+void gateway::TakeFailure(exchange& one, std::size_t index, bool ran,
+                          time_point now) {
+  part& piece = one.parts[index];
+  if (ran) one.may_have_run = true;
+  if (piece.state == part::phase::answered || piece.open > 0) return;
+  const bool repeatable = one.Idempotent() || !ran;
+  piece.hedge_at = kNever;
+  piece.state = part::phase::failed;
+  if (!repeatable || piece.asked.size() >= one.path->attempts) return;
+  const bool extra = !piece.asked.empty();
+  if (extra && !piece.service->budget.Take(repeat_reason::failure, now)) {
+    ++counters_.repeats_denied;
+    return;
+  }
+  if (extra) ++counters_.retries;
+  Place(one, index, now);
+}
+
+bool gateway::FinishPlain(exchange& one, time_point now) {
+  part& piece = one.parts[0];
+  if (piece.state == part::phase::answered) {
+    ++counters_.forwarded;
+    Answer(one, Forwarded(piece.answer), now);
+    return true;
+  }
+  if (piece.state == part::phase::failed) {
+    if (one.failure) {
+      Answer(one, Forwarded(*one.failure), now);
+    } else {
+      RefuseFailed(one, refusal_cause::leaf_failed, now);
+    }
+    return true;
+  }
+  if (now < one.deadline) return false;
+  if (piece.open > 0) one.may_have_run = true;
+  RefuseFailed(one, refusal_cause::timed_out, now);
+  return true;
+}
+
+bool gateway::FinishGather(exchange& one, time_point now) {
+  gather_progress progress;
+  progress.shards = static_cast<std::uint32_t>(one.parts.size());
+  progress.min_ratio = one.path->min_shard_ratio;
+  progress.goal_at = one.goal_at;
+  progress.deadline = one.deadline;
+  for (const part& piece : one.parts) {
+    if (piece.state == part::phase::answered) ++progress.answered;
+    const bool open =
+        piece.state == part::phase::open || piece.state == part::phase::waiting;
+    if (open) ++progress.open;
+    if (piece.open > 0) one.may_have_run = true;
+  }
+  const gather_step step = DecideGather(progress, now);
+  if (step == gather_step::wait) return false;
+  if (step == gather_step::fail) {
+    RefuseFailed(one,
+                 now >= one.deadline ? refusal_cause::timed_out
+                                     : refusal_cause::too_few_shards,
+                 now);
+    return true;
+  }
+  client_answer answer;
+  answer.status = 200;
+  std::vector<std::string_view> bodies;
+  for (const part& piece : one.parts) {
+    const bool answered = piece.state == part::phase::answered;
+    // A proof that stands twice would make the whole answer wrong.
+    const bool fresh =
+        answered &&
+        std::find(answer.part_proofs.begin(), answer.part_proofs.end(),
+                  piece.answer.proof) == answer.part_proofs.end();
+    if (!fresh) {
+      ++answer.missing_parts;
+      continue;
+    }
+    answer.part_proofs.push_back(piece.answer.proof);
+    bodies.push_back(piece.answer.body);
+  }
+  answer.body = MergeGreatest(bodies, one.path->top_records);
+  ++counters_.gathered;
+  if (answer.missing_parts > 0) ++counters_.partial;
+  Answer(one, std::move(answer), now);
+  return true;
+}
+
+/** Refuses after leafs were asked; only what never ran is called not run. */
+void gateway::RefuseFailed(exchange& one, refusal_cause cause, time_point now) {
+  if (one.may_have_run) {
+    Refuse(one, cause, {}, now);
+    return;
+  }
+  bool asked = false;
+  for (const part& piece : one.parts) asked |= !piece.asked.empty();
+  bool known = false;
+  for (const part& piece : one.parts) {
+    known |= !directory_.Of(piece.service->name).empty();
+  }
+  const refusal_cause actual = asked   ? refusal_cause::not_run
+                               : known ? refusal_cause::overloaded
+                                       : refusal_cause::no_leaf;
+  Refuse(one, actual, known ? kRetrySoon : kRetryNoLeaf, now);
+}
+
+void gateway::Refuse(exchange& one, refusal_cause cause, duration retry_after,
+                     time_point now) {
+  ++counters_.refused[static_cast<std::size_t>(cause)];
+  client_answer answer;
+  answer.cause = cause;
+  switch (cause) {
+    case refusal_cause::no_route:
+      answer.status = kNotFound;
+      break;
+    case refusal_cause::leaf_failed:
+    case refusal_cause::too_few_shards:
+      answer.status = kBadGateway;
+      break;
+    case refusal_cause::timed_out:
+      answer.status = kGatewayTimeout;
+      break;
+    default:
+      answer.status = kUnavailable;
+      answer.retry_after = retry_after;
+  }
+  std::uint32_t answered = 0;
+  std::uint32_t sends = 0;
+  for (const part& piece : one.parts) {
+    if (piece.state == part::phase::answered) ++answered;
+    sends += static_cast<std::uint32_t>(piece.asked.size());
+  }
+  effects_->push_back(log_effect{
+      decision::refused,
+      one.request->attempt,
+      {{"cause", std::string(CauseName(cause))},
+       {"route", one.path == nullptr ? "" : one.path->name},
+       {"version", std::to_string(static_cast<std::uint64_t>(Version()))},
+       {"status", std::to_string(answer.status)},
+       {"elapsed_us", Micros(now - one.arrived)},
+       {"left_us", Micros(one.deadline - now)},
+       {"parts", std::to_string(one.parts.size())},
+       {"answered", std::to_string(answered)},
+       {"sends", std::to_string(sends)}}});
+  Answer(one, std::move(answer), now);
+}
+
+void gateway::Answer(exchange& one, client_answer answer, time_point now) {
+  for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
+  if (answer.cause == refusal_cause::none) {
+    const bool late = one.path != nullptr && now > one.goal_at;
+    if (late) ++counters_.late;
+    if (late || answer.missing_parts > 0) {
+      std::string missing;
+      for (const part& piece : one.parts) {
+        if (piece.state == part::phase::answered) continue;
+        if (!missing.empty()) missing += ',';
+        missing += piece.service->name;
+      }
+      effects_->push_back(log_effect{
+          late ? decision::late : decision::partial,
+          one.request->attempt,
+          {{"route", one.path->name},
+           {"version",
+            std::to_string(static_cast<std::uint64_t>(one.config->version))},
+           {"elapsed_us", Micros(now - one.arrived)},
+           {"goal_us", Micros(one.path->goal)},
+           {"missing", missing}}});
+    }
+  }
+  effects_->push_back(answer_effect{one.id, std::move(answer)});
+  exchanges_.erase(static_cast<std::uint64_t>(one.id));
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/leaf_choice.cpp
@@ -0,0 +1,59 @@
+/**
+ * @file leaf_choice.cpp Placing by expected latency.
+ *
+ * Answers the load in which some leafs of a service are slow, failing or far
+ * while others are idle: distance, speed, failures and this host's own open
+ * requests become one figure, so that a near leaf is left exactly when a far
+ * one is expected to answer earlier.
+ */
+
+#include "gateway/leaf_choice.h"
+
+#include <algorithm>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** A failed request costs about this many latencies: the time until it is
+ *  noticed, and the repeat. */
+constexpr double kFailureCost = 4.0;
+
+/** Latency of a leaf shortly after its start, relative to the usual one. */
+constexpr double kColdFactor = 1.5;
+
+}  // namespace
+
+duration PredictLatency(const leaf_candidate& candidate) {
+  const double slots = std::max<std::uint32_t>(candidate.slots, 1);
+  const double rounds = std::max(1.0, (candidate.open + 1) / slots);
+  double latency = static_cast<double>(candidate.expected.count()) *
+                   std::max(candidate.slowness, 0.5) * rounds;
+  latency *= 1 + kFailureCost * candidate.failure_rate;
+  if (candidate.cold) latency *= kColdFactor;
+  return duration(static_cast<duration::rep>(latency));
+}
+
+leaf_choice ChooseLeaf(std::span<const leaf_candidate> candidates) {
+  leaf_choice best;
+  leaf_standing standing = leaf_standing::unusable;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const leaf_candidate& one = candidates[i];
+    if (one.standing == leaf_standing::unusable) continue;
+    if (one.open >= one.limit) {
+      if (best.outcome == choice_outcome::nothing) {
+        best.outcome = choice_outcome::full;
+      }
+      continue;
+    }
+    const duration predicted = PredictLatency(one);
+    const bool better = one.standing < standing || (one.standing == standing &&
+                                                    predicted < best.predicted);
+    if (best.outcome == choice_outcome::chosen && !better) continue;
+    best = {choice_outcome::chosen, i, predicted};
+    standing = one.standing;
+  }
+  return best;
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/leaf_directory.cpp
@@ -0,0 +1,126 @@
+/** @file leaf_directory.cpp Registrations, restarts and leaving of leafs. */
+
+#include "gateway/leaf_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** A restarted process, or another leaf under the same key. */
+bool IsOtherProcess(const leaf_record& a, const leaf_record& b) {
+  const bool reborn = a.born_unix_ms != 0 && b.born_unix_ms != 0 &&
+                      a.born_unix_ms != b.born_unix_ms;
+  return reborn || a.address != b.address || a.service != b.service ||
+         a.instance != b.instance;
+}
+
+}  // namespace
+
+leaf_directory::leaf_directory(leaf_directory_settings settings)
+    : settings_(settings) {}
+
+std::vector<leaf_handle> leaf_directory::Apply(const registry_change& change,
+                                               time_point now) {
+  std::vector<leaf_handle> ended;
+  const auto known = by_key_.find(change.key);
+  leaf_state* leaf = known == by_key_.end() ? nullptr : known->second;
+  if (!change.record) {
+    if (leaf != nullptr) SetListing(*leaf, listing::removed, now);
+    return ended;
+  }
+  if (leaf != nullptr && IsOtherProcess(leaf->record, *change.record)) {
+    ended.push_back(leaf->handle);
+    Detach(*leaf);
+    by_key_.erase(change.key);
+    leafs_.erase(ended.back());
+    leaf = nullptr;
+  }
+  if (leaf == nullptr) {
+    Add(change.key, *change.record, now);
+    return ended;
+  }
+  leaf->record = *change.record;
+  leaf->replaced = false;
+  leaf->cold_until = now + change.record->cold_left;
+  SetListing(*leaf,
+             change.record->draining ? listing::draining : listing::listed,
+             now);
+  return ended;
+}
+
+leaf_state& leaf_directory::Add(const std::string& key,
+                                const leaf_record& record, time_point now) {
+  auto fresh = std::make_unique<leaf_state>();
+  leaf_state& leaf = *fresh;
+  leaf.handle = leaf_handle{next_handle_++};
+  leaf.key = key;
+  leaf.record = record;
+  leaf.listed = record.draining ? listing::draining : listing::listed;
+  leaf.listed_since = now;
+  leaf.cold_until = now + record.cold_left;
+  by_key_[key] = &leaf;
+  by_service_[record.service].push_back(&leaf);
+  leafs_.emplace(leaf.handle, std::move(fresh));
+  return leaf;
+}
+
+void leaf_directory::SetListing(leaf_state& leaf, listing listed,
+                                time_point now) {
+  if (leaf.listed == listed) return;
+  // A leaf that drains and is then removed has been leaving all the while.
+  const bool was_leaving = leaf.listed != listing::listed;
+  if (!was_leaving || listed == listing::listed) leaf.listed_since = now;
+  leaf.listed = listed;
+}
+
+void leaf_directory::Detach(const leaf_state& leaf) {
+  const auto service = by_service_.find(leaf.record.service);
+  if (service == by_service_.end()) return;
+  std::erase(service->second, &leaf);
+  if (service->second.empty()) by_service_.erase(service);
+}
+
+std::span<leaf_state* const> leaf_directory::Of(
+    std::string_view service) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return {};
+  return found->second;
+}
+
+leaf_state* leaf_directory::Find(leaf_handle handle) {
+  const auto found = leafs_.find(handle);
+  return found == leafs_.end() ? nullptr : found->second.get();
+}
+
+leaf_standing leaf_directory::Standing(const leaf_state& leaf,
+                                       time_point now) const {
+  if (leaf.replaced) return leaf_standing::unusable;
+  if (leaf.evidence.OnProbation()) return leaf_standing::unusable;
+  if (leaf.listed != listing::listed) {
+    const bool allowed = now < leaf.listed_since + settings_.last_resort;
+    return allowed ? leaf_standing::last_resort : leaf_standing::unusable;
+  }
+  return leaf.evidence.Stalled(now) ? leaf_standing::doubtful
+                                    : leaf_standing::sound;
+}
+
+std::vector<leaf_handle> leaf_directory::Expire(time_point now) {
+  std::vector<leaf_handle> ended;
+  for (const auto& [handle, leaf] : leafs_) {
+    if (leaf->listed != listing::removed) continue;
+    if (now < leaf->listed_since + settings_.last_resort) continue;
+    if (leaf->evidence.Open() == 0) ended.push_back(handle);
+  }
+  for (const leaf_handle handle : ended) {
+    const auto found = leafs_.find(handle);
+    Detach(*found->second);
+    by_key_.erase(found->second->key);
+    leafs_.erase(found);
+  }
+  return ended;
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/leaf_evidence.cpp
@@ -0,0 +1,160 @@
+/** @file leaf_evidence.cpp Smoothing, stalls and ejection of one leaf. */
+
+#include "gateway/leaf_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** Latencies beyond this multiple of the usual one count as it. */
+constexpr double kMaxSlowness = 8.0;
+
+/** Weight of one sample that is slower, or faster, than the mean. A leaf that
+ *  is fast again is seen at once; one slow request says little. */
+constexpr double kSlowerWeight = 0.2;
+constexpr double kFasterWeight = 0.4;
+
+/** Latency relative to the usual one from which an answer counts as late. */
+constexpr double kLateFactor = 3.0;
+
+/** Evidence loses weight by a factor of e in this time, so that a leaf that
+ *  gets no work is tried again. */
+constexpr duration kSlownessMemory = std::chrono::seconds(6);
+constexpr duration kFailureMemory = std::chrono::seconds(4);
+
+/** Weight of one answer in the failure rate. */
+constexpr double kFailureWeight = 0.15;
+
+/** First and longest time without work after failures in a row. */
+constexpr duration kFirstBackoff = std::chrono::milliseconds(400);
+constexpr duration kLongestBackoff = std::chrono::seconds(3);
+
+/** Time in which a leaf that refused work gains one open request. */
+constexpr duration kShedRecovery = std::chrono::milliseconds(250);
+
+double Decay(duration passed, duration memory) {
+  return std::exp(-static_cast<double>(passed.count()) /
+                  static_cast<double>(memory.count()));
+}
+
+}  // namespace
+
+void leaf_evidence::OnSent(const open_call& call) { open_.push_back(call); }
+
+void leaf_evidence::Forget(leaf_call call) {
+  open_call ignored;
+  Take(call, ignored);
+}
+
+bool leaf_evidence::Take(leaf_call call, open_call& taken) {
+  const auto found =
+      std::find_if(open_.begin(), open_.end(),
+                   [&](const open_call& one) { return one.call == call; });
+  if (found == open_.end()) return false;
+  taken = *found;
+  open_.erase(found);
+  return true;
+}
+
+void leaf_evidence::OnAnswer(leaf_call call, time_point now) {
+  open_call taken;
+  if (!Take(call, taken)) return;
+  last_answer_ = now;
+  streak_ = 0;
+  backoff_ = {};
+  ejected_until_ = {};
+  failure_rate_ = FailureRate(now) * (1 - kFailureWeight);
+  failure_at_ = now;
+  const double expected =
+      std::max<double>(1, static_cast<double>(taken.expected.count()));
+  const double sample =
+      std::clamp(static_cast<double>((now - taken.sent).count()) / expected,
+                 0.2, kMaxSlowness);
+  // Requests that waited behind one pause of the leaf are one observation.
+  if (sample >= kLateFactor) {
+    if (taken.sent < last_late_) return;
+    last_late_ = now;
+  }
+  const double mean = Slowness(now);
+  const double weight = sample > mean ? kSlowerWeight : kFasterWeight;
+  slowness_ = mean + weight * (sample - mean);
+  slowness_at_ = now;
+}
+
+void leaf_evidence::OnShed(leaf_call call, time_point now) {
+  const double open = Open();
+  open_call taken;
+  if (!Take(call, taken)) return;
+  last_answer_ = now;
+  shed_limit_ = std::max(1.0, std::min(ShedLimit(now), open) / 2);
+  shed_at_ = now;
+}
+
+void leaf_evidence::OnFailure(leaf_call call, leaf_failure failure,
+                              time_point now) {
+  open_call taken;
+  if (!Take(call, taken)) return;
+  AddFailure(now);
+  // Nothing listens or nothing answers there: one such request is enough.
+  if (failure == leaf_failure::not_sent || failure == leaf_failure::timed_out) {
+    streak_ = std::max(streak_, kStreakToEject);
+    Eject(now);
+  }
+}
+
+void leaf_evidence::OnErrorStatus(leaf_call call, time_point now) {
+  open_call taken;
+  if (!Take(call, taken)) return;
+  last_answer_ = now;
+  AddFailure(now);
+}
+
+// One more failure ejects the leaf again at once.
+void leaf_evidence::OnProbeSucceeded() {
+  streak_ = std::min(streak_, kStreakToEject - 1);
+}
+
+void leaf_evidence::OnProbeFailed(time_point now) { Eject(now); }
+
+void leaf_evidence::AddFailure(time_point now) {
+  failure_rate_ = FailureRate(now) + kFailureWeight * (1 - FailureRate(now));
+  failure_at_ = now;
+  if (++streak_ >= kStreakToEject) Eject(now);
+}
+
+void leaf_evidence::Eject(time_point now) {
+  if (Ejected(now)) return;
+  backoff_ = backoff_ == duration{} ? kFirstBackoff
+                                    : std::min(backoff_ * 2, kLongestBackoff);
+  ejected_until_ = now + backoff_;
+}
+
+double leaf_evidence::Slowness(time_point now) const {
+  return 1 + (slowness_ - 1) * Decay(now - slowness_at_, kSlownessMemory);
+}
+
+double leaf_evidence::FailureRate(time_point now) const {
+  return failure_rate_ * Decay(now - failure_at_, kFailureMemory);
+}
+
+bool leaf_evidence::Stalled(time_point now) const {
+  return std::any_of(open_.begin(), open_.end(), [&](const open_call& one) {
+    const time_point late = one.sent + one.suspect_after;
+    return now >= late && last_answer_ < late;
+  });
+}
+
+double leaf_evidence::ShedLimit(time_point now) const {
+  constexpr double kUnlimited = 1e9;
+  if (shed_limit_ == 0) return kUnlimited;
+  const double gained = static_cast<double>((now - shed_at_).count()) /
+                        static_cast<double>(kShedRecovery.count());
+  // After some seconds without a refusal the limit means nothing any more.
+  if (gained > 20) return kUnlimited;
+  return shed_limit_ + gained;
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/repeat_budget.cpp
@@ -0,0 +1,53 @@
+/** @file repeat_budget.cpp Sliding count of first requests and repeats. */
+
+#include "gateway/repeat_budget.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** Part of the bound that is spent. The rest covers requests that are counted
+ *  at the leaf in another window than here. */
+constexpr double kSpendable = 0.9;
+
+/** Part of the spendable budget that hedges may use, so that failed requests
+ *  still find a repeat. */
+constexpr double kHedgeShare = 0.85;
+
+}  // namespace
+
+repeat_budget::repeat_budget(const repeat_settings& settings)
+    : settings_(settings) {}
+
+std::int64_t repeat_budget::Period(time_point now) const {
+  const auto length = settings_.window.count() / std::int64_t{kBuckets};
+  return now.time_since_epoch().count() / length;
+}
+
+repeat_budget::bucket& repeat_budget::Current(time_point now) {
+  const std::int64_t period = Period(now);
+  bucket& current =
+      buckets_[static_cast<std::size_t>(period) % buckets_.size()];
+  if (current.period != period) current = {period, 0, 0};
+  return current;
+}
+
+void repeat_budget::OnFirst(time_point now) { ++Current(now).first; }
+
+bool repeat_budget::Take(repeat_reason reason, time_point now) {
+  bucket& current = Current(now);
+  double first = 0;
+  double repeats = 0;
+  for (const bucket& one : buckets_) {
+    if (one.period < current.period - std::int64_t{kBuckets}) continue;
+    first += one.first;
+    repeats += one.repeats;
+  }
+  double room = (settings_.ratio * first + settings_.slack) * kSpendable;
+  if (reason == repeat_reason::hedge) room *= kHedgeShare;
+  if (repeats + 1 > room) return false;
+  ++current.repeats;
+  return true;
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/route_table.cpp
@@ -0,0 +1,32 @@
+/** @file route_table.cpp Longest-prefix match over the routes of a host. */
+
+#include "gateway/route_table.h"
+
+#include <utility>
+
+namespace corianderrail::gateway {
+
+route_table::route_table(std::shared_ptr<const routing_config> config)
+    : config_(std::move(config)) {
+  for (const route& one : config_->routes) {
+    hosts_[one.host].insert_or_assign(one.prefix, &one);
+  }
+}
+
+// Prefixes end with a slash, so only the cuts after a slash can match. A path
+// has few of them, while a host may have thousands of routes.
+const route* route_table::Find(std::string_view host,
+                               std::string_view path) const {
+  const auto routes = hosts_.find(host);
+  if (routes == hosts_.end()) return nullptr;
+  std::size_t cut = path.rfind('/');
+  while (cut != std::string_view::npos) {
+    const auto found = routes->second.find(path.substr(0, cut + 1));
+    if (found != routes->second.end()) return found->second;
+    if (cut == 0) break;
+    cut = path.rfind('/', cut - 1);
+  }
+  return nullptr;
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/split_turn.h
@@ -0,0 +1,23 @@
+/** @file split_turn.h Distributes the requests of a route over services. */
+
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+#include "gateway/routing_type.h"
+
+namespace corianderrail::gateway {
+
+/** Smooth weighted round robin over the services of one route. */
+class split_turn {
+ public:
+  /** Position of the service that gets the next request. */
+  std::size_t Next(std::span<const weighted_service> targets);
+
+ private:
+  std::vector<double> credit_;  ///< One for each service.
+};
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/store_follower.cpp
@@ -0,0 +1,134 @@
+/** @file store_follower.cpp Listing, watching, and waiting after failures. */
+
+#include "gateway/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderrail::gateway {
+
+store_follower::store_follower(std::string prefix,
+                               store_follower_settings settings,
+                               std::uint64_t seed)
+    : prefix_(std::move(prefix)), settings_(settings), random_(seed) {}
+
+std::optional<store_read> store_follower::Next(time_point now) {
+  if (open_ || now < due_) return std::nullopt;
+  open_ = true;
+  store_read read;
+  read.prefix = prefix_;
+  if (listing_) {
+    read.kind = store_read_kind::list;
+    read.after_key = after_key_;
+  } else {
+    read.kind = store_read_kind::watch;
+    read.revision = revision_;
+    read.wait = settings_.watch_wait;
+  }
+  return read;
+}
+
+time_point store_follower::NextWake() const { return open_ ? kNever : due_; }
+
+std::vector<store_item> store_follower::OnReply(store_reply reply,
+                                                time_point now) {
+  open_ = false;
+  failures_ = 0;
+  return listing_ ? OnListing(std::move(reply), now)
+                  : OnChanges(std::move(reply), now);
+}
+
+void store_follower::Accept(store_item item, std::vector<store_item>& changes) {
+  const auto known = revisions_.find(item.key);
+  if (known != revisions_.end() && item.revision <= known->second) return;
+  if (item.removed) {
+    if (known == revisions_.end()) return;
+    revisions_.erase(known);
+  } else {
+    revisions_[item.key] = item.revision;
+  }
+  changes.push_back(std::move(item));
+}
+
+std::vector<store_item> store_follower::OnListing(store_reply reply,
+                                                  time_point now) {
+  std::vector<store_item> changes;
+  if (reply.revision < revision_) {
+    // A replica of the store that is behind answered.
+    StartListing(now + settings_.first_backoff);
+    return changes;
+  }
+  if (after_key_.empty()) listing_revision_ = reply.revision;
+  for (store_item& item : reply.items) {
+    page_keys_[item.key] = item.revision;
+    after_key_ = item.key;
+    Accept(std::move(item), changes);
+  }
+  if (reply.more && !after_key_.empty()) {
+    due_ = now;
+    return changes;
+  }
+  // Pages are no snapshot: only what was written before the first page and is
+  // on no page is gone. Later changes come with the watch.
+  std::vector<store_item> gone;
+  for (const auto& [key, revision] : revisions_) {
+    if (page_keys_.contains(key) || revision > listing_revision_) continue;
+    gone.push_back({key, listing_revision_, true, {}});
+  }
+  for (store_item& item : gone) Accept(std::move(item), changes);
+  revision_ = std::max(revision_, listing_revision_);
+  listing_ = false;
+  listed_ = true;
+  due_ = now;
+  return changes;
+}
+
+std::vector<store_item> store_follower::OnChanges(store_reply reply,
+                                                  time_point now) {
+  std::vector<store_item> changes;
+  std::sort(reply.items.begin(), reply.items.end(),
+            [](const store_item& a, const store_item& b) {
+              return a.revision < b.revision;
+            });
+  for (store_item& item : reply.items) {
+    if (!item.key.starts_with(prefix_)) continue;
+    Accept(std::move(item), changes);
+  }
+  revision_ = std::max(revision_, reply.revision);
+  due_ = changes.empty() ? now : now + settings_.settle;
+  return changes;
+}
+
+void store_follower::StartListing(time_point at) {
+  listing_ = true;
+  after_key_.clear();
+  page_keys_.clear();
+  due_ = at;
+}
+
+void store_follower::OnFailure(store_failure failure, time_point now) {
+  open_ = false;
+  if (failure == store_failure::compacted) {
+    StartListing(now);
+    return;
+  }
+  const std::uint32_t doublings = std::min<std::uint32_t>(failures_, 8);
+  ++failures_;
+  const duration limit = std::min(settings_.first_backoff * (1 << doublings),
+                                  settings_.longest_backoff);
+  // Half of the pause is random, so that hosts do not come back together.
+  const duration pause =
+      limit / 2 +
+      duration(random_.Below(static_cast<std::uint64_t>(limit.count()) / 2));
+  if (listing_) {
+    StartListing(now + pause);
+  } else {
+    due_ = now + pause;
+  }
+}
+
+void store_follower::Hurry(time_point now) {
+  if (!open_) due_ = std::min(due_, now);
+}
+
+}  // namespace corianderrail::gateway
--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -9,8 +9,11 @@
 #include <cstdlib>
 #include <ctime>
 #include <memory>
+#include <stdexcept>
 #include <string>
+#include <string_view>
 
+#include "edge/edge_process.h"
 #include "node/logging.h"
 #include "node/node.h"
 #include "node/settings.h"
@@ -34,17 +37,27 @@
 /** What the command line says. */
 struct command_line {
   bool version = false;    ///< --version was given.
+  bool edge = false;       ///< Serve the platform's interface.
+  bool check = false;      ///< Only check the settings.
   std::string settings;    ///< Path of the settings.
   const char* error = "";  ///< Message when it is wrong.
 };
 
+/** Names the settings file when the command line does not. */
+constexpr const char* kSettingsVariable = "CORIANDERRAIL_SETTINGS";
+
 command_line ReadCommandLine(int argc, const char** argv) {
   command_line result;
   char* settings = nullptr;
   int version = 0;
-  std::array<poptOption, 4> options = {{
+  int check = 0;
+  std::array<poptOption, 5> options = {{
       {"settings", 's', POPT_ARG_STRING, &settings, 0,
-       "Read the settings of this host from FILE (TOML)", "FILE"},
+       "Read the settings of this host from FILE (TOML); without it, from the "
+       "file that the variable CORIANDERRAIL_SETTINGS names",
+       "FILE"},
+      {"check", 'c', POPT_ARG_NONE, &check, 0,
+       "Check the settings and exit; lists all faults", nullptr},
       {"version", 'V', POPT_ARG_NONE, &version, 0, "Print the version",
        nullptr},
       POPT_AUTOHELP POPT_TABLEEND,
@@ -52,11 +65,19 @@
   const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
       poptGetContext("corianderrail", argc, argv, options.data(), 0),
       &poptFreeContext);
-  poptSetOtherOptionHelp(context.get(), "--settings FILE");
+  poptSetOtherOptionHelp(context.get(), "[edge] --settings FILE");
   const int code = poptGetNextOpt(context.get());
   result.version = version != 0;
+  result.check = check != 0;
   if (settings != nullptr) result.settings = settings;
   std::free(settings);
+  const char* named = std::getenv(kSettingsVariable);
+  if (result.settings.empty() && named != nullptr) result.settings = named;
+  const char* role = poptPeekArg(context.get());
+  if (role != nullptr && std::string_view(role) == "edge") {
+    result.edge = true;
+    poptGetArg(context.get());
+  }
   if (code < -1) {
     result.error = poptStrerror(code);
   } else if (poptPeekArg(context.get()) != nullptr) {
@@ -109,6 +130,37 @@
   return kStopped;
 }
 
+int RunEdge(const command_line& line) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    edge::edge_process host(edge::LoadEdgeSettings(line.settings),
+                            line.settings);
+    host.Run();
+  } catch (const edge::edge_settings_error& error) {
+    std::fprintf(stderr, "corianderrail: %s\n", error.what());
+    return kBadSettings;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "corianderrail: %s\n", error.what());
+    return kCannotListen;
+  }
+  return kStopped;
+}
+
+int Check(const command_line& line) {
+  try {
+    if (line.edge) {
+      edge::LoadEdgeSettings(line.settings);
+    } else {
+      LoadSettings(line.settings);
+    }
+  } catch (const std::runtime_error& error) {
+    std::fprintf(stderr, "corianderrail: %s\n", error.what());
+    return kBadSettings;
+  }
+  std::printf("%s: no faults\n", line.settings.c_str());
+  return kStopped;
+}
+
 }  // namespace
 
 }  // namespace corianderrail
@@ -124,7 +176,8 @@
     std::puts("corianderrail 0.1.0");
     return kStopped;
   }
-  const int code = Run(line.settings);
+  if (line.check) return Check(line);
+  const int code = line.edge ? RunEdge(line) : Run(line.settings);
   std::fflush(nullptr);
   // A watch may still wait in a detached thread, so no static object may be
   // destroyed.
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -21,6 +21,7 @@
 #include "node/logging.h"
 #include "node/metrics.h"
 #include "node/platform_client.h"
+#include "wire/incarnation.h"
 #include "wire/peer_codec.h"
 #include "wire/peer_transport.h"
 
@@ -28,8 +29,6 @@
 
 namespace {
 
-constexpr int kIncarnationRandomBits = 20;
-
 host_settings MakeHostSettings(const node_settings& from) {
   host_settings host = from.host;
   host.self.ref = {HostIdOf(from.peer_address), MakeIncarnation()};
@@ -49,16 +48,6 @@
 
 }  // namespace
 
-incarnation_id MakeIncarnation() {
-  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
-  const std::uint64_t random =
-      std::random_device{}() & ((1u << kIncarnationRandomBits) - 1);
-  return incarnation_id{
-      (static_cast<std::uint64_t>(millis) << kIncarnationRandomBits) | random};
-}
-
 struct node::state {
   explicit state(node_settings given);
 
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -28,10 +28,4 @@
   std::unique_ptr<state> state_;
 };
 
-/**
- * A life that is larger than every earlier one of this host: unix time in
- * milliseconds, shifted left by 20 bits, plus 20 random bits.
- */
-incarnation_id MakeIncarnation();
-
 }  // namespace corianderrail
