Notice a store connection that went silent or never opened

Connects now end after 0.8 s, unacknowledged data ends a connection after 3 s, and a host that is behind its peers' version for 0.8 s reads anew.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -50,6 +50,9 @@
 constexpr std::size_t kClientPart = 2;
 constexpr std::size_t kCheckPart = 16;
 
+/** A change reaches all hosts that watch the store within this time. */
+constexpr duration kBehindLimit = std::chrono::milliseconds(800);
+
 /** Most addresses that a client reads from an answer. */
 constexpr std::size_t kMostEntries = 64;
 
@@ -125,6 +128,7 @@
   void OnSignal(int number);
   void Sweep();
   void Wake();
+  void CheckBehind();
   void EndIfDone();
 
   edge_settings settings;
@@ -149,6 +153,7 @@
   std::vector<gateway::event> posted;
   std::vector<member_record> members;
   std::uint32_t most_hosts = kLeastHosts;
+  time_point behind_since = kNever;  ///< A peer has a newer configuration.
   bool ready = false;
   bool stopping = false;
   gateway::stop_progress stop;
@@ -427,8 +432,7 @@
   lookups.Sweep();
   metrics_port.Sweep();
   leafs.Sweep();
-  const auto version = static_cast<std::uint64_t>(core.Version());
-  if (peers.HighestRevision() > version) config_store.Hurry();
+  CheckBehind();
   EndIfDone();
   sweep_timer.expires_after(kSweepPeriod);
   sweep_timer.async_wait([this](error_code error) {
@@ -436,6 +440,24 @@
   });
 }
 
+/** Reads the configuration anew when a peer has had a newer one for a while. */
+void edge_process::state::CheckBehind() {
+  const time_point now = Now();
+  const auto version = static_cast<std::uint64_t>(core.Version());
+  const std::uint64_t known = peers.HighestRevision();
+  if (known <= version) {
+    behind_since = kNever;
+    return;
+  }
+  if (behind_since == kNever) behind_since = now;
+  if (now < behind_since + kBehindLimit) return;
+  behind_since = now;
+  const decision_input inputs[] = {{"version", std::to_string(version)},
+                                   {"peer_version", std::to_string(known)}};
+  log.WriteEvent("config_behind_peers", inputs);
+  config_store.Hurry();
+}
+
 void edge_process::state::EndIfDone() {
   if (!stopping) return;
   stop.open = core.OpenExchanges();
--- a/packages/edge/http_getter.cpp
+++ b/packages/edge/http_getter.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -31,16 +32,26 @@
 
 /** A connection that went silent is noticed after about four seconds, also
  *  while a watch waits. */
-constexpr int kKeepAliveIdleS = 2;
+constexpr int kKeepAliveIdleS = 1;
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 
+/** Keep-alive probes are not sent while a request is not acknowledged. */
+constexpr unsigned kUserTimeoutMs = 3000;
+
+/** A connection that is not open by then is tried anew: the opening packet is
+ *  repeated only after seconds, also when the network is back meanwhile. */
+constexpr duration kConnectTimeout = std::chrono::milliseconds(800);
+
 void DetectSilence(tcp::socket& socket) {
   error_code ignored;
   using idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
   using interval =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
   using probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  using user_timeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  socket.set_option(user_timeout(kUserTimeoutMs), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(idle(kKeepAliveIdleS), ignored);
   socket.set_option(interval(kKeepAliveIntervalS), ignored);
@@ -54,7 +65,8 @@
   state(asio::io_context& io, std::string given)
       : address(std::move(given)), socket(io), timer(io) {}
 
-  void Start(duration timeout);
+  void Start();
+  void Limit(duration timeout);
   void Write();
   void OnMessage(error_code error);
   void Finish(std::optional<http_result> result);
@@ -66,34 +78,42 @@
   boost::beast::flat_buffer buffer;
   std::optional<http::response_parser<http::string_body>> parser;
   std::string out;
+  duration answer_timeout{};  ///< Of the open read.
   callback done;
   std::uint64_t turn = 0;  ///< Tells late handlers of an earlier read apart.
 };
 
-void http_getter::state::Start(duration timeout) {
-  ++turn;
+/** Ends the read when it takes longer than `timeout` from now on. */
+void http_getter::state::Limit(duration timeout) {
   timer.expires_after(timeout);
   timer.async_wait([self = shared_from_this(), mine = turn](error_code error) {
     if (error || mine != self->turn || !self->done) return;
     self->Finish(std::nullopt);
   });
+}
+
+void http_getter::state::Start() {
+  ++turn;
   if (socket.is_open()) {
     Write();
     return;
   }
-  socket.async_connect(ParseEndpoint(address), [self = shared_from_this(),
-                                                mine = turn](error_code error) {
-    if (mine != self->turn || !self->done) return;
-    if (error) {
-      self->Finish(std::nullopt);
-      return;
-    }
-    DetectSilence(self->socket);
-    self->Write();
-  });
+  Limit(std::min(kConnectTimeout, answer_timeout));
+  socket.async_connect(
+      ParseEndpoint(address),
+      [self = shared_from_this(), mine = turn](error_code error) {
+        if (mine != self->turn || !self->done) return;
+        if (error) {
+          self->Finish(std::nullopt);
+          return;
+        }
+        DetectSilence(self->socket);
+        self->Write();
+      });
 }
 
 void http_getter::state::Write() {
+  Limit(answer_timeout);
   asio::async_write(
       socket, asio::buffer(out),
       [self = shared_from_this(), mine = turn](error_code error, std::size_t) {
@@ -153,7 +173,12 @@
   state_->out =
       "GET " + target + " HTTP/1.1\r\nHost: " + state_->address + "\r\n\r\n";
   state_->done = std::move(done);
-  state_->Start(timeout);
+  state_->answer_timeout = timeout;
+  state_->Start();
+}
+
+void http_getter::Abandon() {
+  if (state_->done) state_->Finish(std::nullopt);
 }
 
 }  // namespace corianderrail::edge
--- a/packages/edge/http_getter.h
+++ b/packages/edge/http_getter.h
@@ -35,6 +35,9 @@
   /** @pre No other read is open. */
   void Get(const std::string& target, duration timeout, callback done);
 
+  /** Ends the open read, if any, without an answer; its callback is called. */
+  void Abandon();
+
  private:
   struct state;
   std::shared_ptr<state> state_;
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -28,7 +28,9 @@
 
 void store_link::Start() { Run(); }
 
+// An open watch has not told of the change, so its connection may be silent.
 void store_link::Hurry() {
+  getter_.Abandon();
   follower_.Hurry(Now());
   Run();
 }
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -28,7 +28,7 @@
 
   void Start();
 
-  /** Reads anew at once, unless a read is open. */
+  /** Reads anew at once, because a change is known to be missing. */
   void Hurry();
 
   bool Listed() const { return follower_.Listed(); }
--- /dev/null
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -0,0 +1,209 @@
+/** @file gateway_fixture.h A gateway in virtual time, with leafs to answer. */
+
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/gateway.h"
+
+namespace corianderrail::gateway {
+
+using std::chrono::milliseconds;
+
+/** Drives one gateway; every leaf request is kept until the test answers. */
+class gateway_fixture {
+ public:
+  gateway_fixture() { Build({}); }
+
+  /** Replaces the gateway by one with these settings. */
+  void Build(gateway_settings settings) {
+    settings.here = {
+        "a-1", "a", {{"a-1", "a"}, {"b-1", "b"}, {"c-1", "c"}}};
+    if (settings.repeats.slack == 0) settings.repeats.slack = 100;
+    core_ = std::make_unique<gateway>(settings);
+    Reduce(fleet_event{2, {1, 1}, {1, 1}});
+  }
+
+  /** A gathered route "query", a plain one "read" and a write "order". */
+  static std::shared_ptr<routing_config> Config(std::uint64_t version = 1,
+                                                std::size_t shards = 4) {
+    auto config = std::make_shared<routing_config>();
+    config->version = config_version{version};
+    route query;
+    query.name = "query";
+    query.host = "h";
+    query.prefix = "/query/";
+    query.kind = repeatability::idempotent;
+    query.timeout = milliseconds(800);
+    query.goal = milliseconds(150);
+    query.rank = 1;
+    query.attempts = 2;
+    query.top_records = 3;
+    query.min_shard_ratio = 0.75;
+    for (std::size_t i = 0; i < shards; ++i) {
+      query.shards.push_back("s" + std::to_string(i));
+      config->services.push_back({query.shards.back(), 24});
+    }
+    route read = query;
+    read.name = "read";
+    read.prefix = "/read/";
+    read.shards.clear();
+    read.targets = {{"plain", 1}};
+    route order = read;
+    order.name = "order";
+    order.prefix = "/order/";
+    order.kind = repeatability::non_idempotent;
+    config->services.push_back({"plain", 24});
+    config->routes = {query, read, order};
+    return config;
+  }
+
+  /** Puts a configuration in force. */
+  void Configure(std::shared_ptr<const routing_config> config) {
+    Reduce(config_event{std::move(config)});
+  }
+
+  static leaf_record Leaf(const std::string& service, const std::string& zone) {
+    leaf_record leaf;
+    leaf.instance = service + "@" + zone;
+    leaf.service = service;
+    leaf.address = "10.0.0.1:1";
+    leaf.zone = zone;
+    leaf.slots = 2;
+    return leaf;
+  }
+
+  /** Registers a leaf of each service in each zone. */
+  void RegisterAll(const std::vector<std::string>& zones,
+                   std::size_t shards = 4) {
+    for (const std::string& zone : zones) {
+      Register(Leaf("plain", zone));
+      for (std::size_t i = 0; i < shards; ++i) {
+        Register(Leaf("s" + std::to_string(i), zone));
+      }
+    }
+  }
+
+  void Register(const leaf_record& leaf) {
+    Reduce(registry_event{{{leaf.instance, ++revision_, leaf, false}}});
+  }
+  void Remove(const std::string& instance) {
+    Reduce(registry_event{{{instance, ++revision_, std::nullopt, false}}});
+  }
+
+  /** Sends a request of a client; its identifier is the exchange's number. */
+  exchange_id Request(const std::string& path,
+                      std::optional<duration> time_left = {}) {
+    const exchange_id id{++exchanges_};
+    auto request = std::make_shared<client_request>();
+    request->attempt = std::to_string(exchanges_);
+    request->method = "GET";
+    request->host = "h";
+    request->path = path;
+    request->target = path;
+    request->time_left = time_left;
+    Reduce(request_event{id, request});
+    return id;
+  }
+
+  void Leave(exchange_id exchange) { Reduce(client_gone_event{exchange}); }
+
+  /** Lets time pass, with every wake-up on the way. */
+  void Pass(duration length) {
+    const time_point end = now_ + length;
+    while (core_->NextWake() <= end) {
+      now_ = std::max(now_, core_->NextWake());
+      Reduce(wake_event{});
+    }
+    now_ = end;
+  }
+
+  static leaf_answer Good(const send_leaf_effect& call,
+                          std::string body = std::string(16, 'r')) {
+    leaf_answer answer;
+    answer.status = 200;
+    answer.proof = call.instance + "/" + call.request->attempt;
+    answer.attempt = call.request->attempt;
+    answer.body = std::move(body);
+    return answer;
+  }
+
+  void Reply(const send_leaf_effect& call, leaf_answer answer) {
+    Reduce(leaf_answer_event{call.call, std::move(answer)});
+  }
+  void Fail(const send_leaf_effect& call, leaf_failure failure) {
+    Reduce(leaf_failure_event{call.call, failure});
+  }
+
+  /** Takes the requests to leafs since the last call. */
+  std::vector<send_leaf_effect> TakeSends() {
+    return std::exchange(sends_, {});
+  }
+
+  /** Answer of an exchange; null while there is none. */
+  const client_answer* AnswerOf(exchange_id exchange) const {
+    for (const answer_effect& one : answers_) {
+      if (one.exchange == exchange) return &one.answer;
+    }
+    return nullptr;
+  }
+
+  /** Number of answers of an exchange. */
+  std::size_t AnswersOf(exchange_id exchange) const {
+    return static_cast<std::size_t>(
+        std::count_if(answers_.begin(), answers_.end(),
+                      [&](const answer_effect& one) {
+                        return one.exchange == exchange;
+                      }));
+  }
+
+  const std::vector<leaf_call>& Cancelled() const { return cancelled_; }
+  const std::vector<log_effect>& Logged() const { return logged_; }
+  const std::vector<connect_leaf_effect>& Connects() const {
+    return connects_;
+  }
+  gateway& Core() { return *core_; }
+  time_point Now() const { return now_; }
+
+  void Reduce(event happening) {
+    effect_list effects;
+    core_->Reduce(std::move(happening), now_, effects);
+    for (effect& one : effects) std::visit([&](auto& e) { Take(e); }, one);
+    while (!opened_.empty()) {
+      const leaf_handle leaf = opened_.back();
+      opened_.pop_back();
+      Reduce(leaf_connected_event{leaf, !refuse_connections});
+    }
+  }
+
+  bool refuse_connections = false;  ///< Whether probes of leafs fail.
+
+ private:
+  void Take(send_leaf_effect& one) { sends_.push_back(std::move(one)); }
+  void Take(cancel_leaf_effect& one) { cancelled_.push_back(one.call); }
+  void Take(connect_leaf_effect& one) {
+    connects_.push_back(one);
+    opened_.push_back(one.leaf);
+  }
+  void Take(forget_leaf_effect&) {}
+  void Take(answer_effect& one) { answers_.push_back(std::move(one)); }
+  void Take(log_effect& one) { logged_.push_back(std::move(one)); }
+
+  std::unique_ptr<gateway> core_;
+  time_point now_{std::chrono::seconds(100)};
+  std::uint64_t revision_ = 0;
+  std::uint64_t exchanges_ = 0;
+  std::vector<send_leaf_effect> sends_;
+  std::vector<answer_effect> answers_;
+  std::vector<leaf_call> cancelled_;
+  std::vector<connect_leaf_effect> connects_;
+  std::vector<leaf_handle> opened_;
+  std::vector<log_effect> logged_;
+};
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/tests/gateway_plain_test.cpp
@@ -0,0 +1,243 @@
+/** @file gateway_plain_test.cpp Requests to one leaf. */
+
+#include <catch2/catch.hpp>
+
+#include "gateway_fixture.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+class plain_fixture : public gateway_fixture {
+ public:
+  plain_fixture() {
+    Configure(Config());
+    RegisterAll({"a-1", "b-1", "c-1"});
+    TakeSends();
+  }
+
+  /** The one request to a leaf that is open. */
+  send_leaf_effect One() {
+    auto sends = TakeSends();
+    REQUIRE(sends.size() == 1);
+    return sends[0];
+  }
+
+  static leaf_answer Shed() {
+    leaf_answer answer;
+    answer.status = 503;
+    answer.not_run = true;
+    return answer;
+  }
+};
+
+}  // namespace
+
+// Guards against changes of a leaf's answer on the way.
+TEST_CASE_METHOD(plain_fixture, "Request_LeafAnswers_PassesItOnUnchanged") {
+  const auto id = Request("/read/x");
+  const auto send = One();
+  auto answer = Good(send, "body");
+  answer.fields = {{"X-Any", "value"}};
+  answer.status = 201;
+  Reply(send, answer);
+  const auto* got = AnswerOf(id);
+  REQUIRE(got != nullptr);
+  CHECK(got->status == 201);
+  CHECK(got->body == "body");
+  CHECK(got->fields.size() == 1);
+}
+
+// Guards against running a request twice after an unknown outcome.
+TEST_CASE_METHOD(plain_fixture, "Order_ConnectionBreaks_IsNeverSentAgain") {
+  const auto id = Request("/order/x");
+  Fail(One(), leaf_failure::broken);
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->status == 502);
+  CHECK_FALSE(answer->retry_after);
+  Pass(milliseconds(1000));
+  CHECK(TakeSends().empty());
+}
+
+// Guards against giving up on an order that certainly did not run.
+TEST_CASE_METHOD(plain_fixture, "Order_LeafStatesNotRun_GoesToAnotherLeaf") {
+  const auto id = Request("/order/x");
+  Reply(One(), Shed());
+  const auto second = One();
+  Reply(second, Good(second));
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->status == 200);
+}
+
+// Guards against a false "not run", and against one that could be true.
+TEST_CASE_METHOD(plain_fixture, "Order_AllLeafsStateNotRun_RefusedWithRetry") {
+  const auto id = Request("/order/x");
+  Reply(One(), Shed());
+  Reply(One(), Shed());
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->status == 503);
+  CHECK(answer->retry_after.has_value());
+}
+
+// Guards against a false "not run" after a send whose fate is unknown.
+TEST_CASE_METHOD(plain_fixture, "Order_SilentUntilTimeout_IsNotCalledNotRun") {
+  const auto id = Request("/order/x");
+  One();
+  Pass(milliseconds(801));
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->status == 504);
+  CHECK(TakeSends().empty());
+}
+
+// Guards against hedging what must not run twice.
+TEST_CASE_METHOD(plain_fixture, "Order_LeafLate_IsNotHedged") {
+  Request("/order/x");
+  One();
+  Pass(milliseconds(700));
+  CHECK(TakeSends().empty());
+}
+
+// Guards against a send that counts although no byte was written.
+TEST_CASE_METHOD(plain_fixture, "Order_NoConnection_TriesAllLeafs") {
+  const auto id = Request("/order/x");
+  Fail(One(), leaf_failure::not_sent);
+  Fail(One(), leaf_failure::not_sent);
+  const auto third = One();
+  Reply(third, Good(third));
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->status == 200);
+}
+
+// Guards against a request that outlives its client's patience.
+TEST_CASE_METHOD(plain_fixture, "Request_ClientWaitsLess_LeafGetsWhatIsLeft") {
+  Request("/read/x", milliseconds(300));
+  CHECK(One().time_left <= milliseconds(300));
+}
+
+// Guards against a leaf that got the address of another one.
+TEST_CASE_METHOD(plain_fixture, "Request_OtherLeafAtAddress_LeafIsNotAskedAgain") {
+  const auto id = Request("/read/x");
+  const auto first = One();
+  leaf_answer other;
+  other.status = 421;
+  Reply(first, other);
+  const auto second = One();
+  CHECK(second.instance != first.instance);
+  Reply(second, Good(second));
+  CHECK(AnswerOf(id)->status == 200);
+  Request("/read/x");
+  CHECK(One().instance != first.instance);
+}
+
+// Guards against a success without proof, or with a body that was encoded.
+TEST_CASE_METHOD(plain_fixture, "Request_AnswerWithoutProof_AsksAnotherLeaf") {
+  const auto id = Request("/read/x");
+  const auto first = One();
+  auto answer = Good(first);
+  answer.proof.clear();
+  Reply(first, answer);
+  const auto second = One();
+  answer = Good(second);
+  answer.encoded = true;
+  Reply(second, answer);
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->status == 502);
+}
+
+// Guards against a leaf's error that is replaced by one of this host.
+TEST_CASE_METHOD(plain_fixture, "Request_LeafsFailWithProof_PassesFailureOn") {
+  const auto id = Request("/read/x");
+  for (int i = 0; i < 2; ++i) {
+    const auto send = One();
+    auto answer = Good(send);
+    answer.status = 500;
+    Reply(send, answer);
+  }
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->status == 500);
+}
+
+// Guards against 404 while the configuration is not known.
+TEST_CASE("Request_NoConfiguration_RefusedNotDenied") {
+  gateway_fixture host;
+  const auto id = host.Request("/read/x");
+  REQUIRE(host.AnswerOf(id) != nullptr);
+  CHECK(host.AnswerOf(id)->status == 503);
+}
+
+// Guards against an older configuration that arrives late.
+TEST_CASE_METHOD(plain_fixture, "Config_OlderVersion_IsIgnored") {
+  Configure(Config(7));
+  auto old = Config(6);
+  old->routes.clear();
+  Configure(old);
+  CHECK(Core().Version() == config_version{7});
+  Request("/read/x");
+  One();
+}
+
+// Guards against work for a leaf that leaves while others have room.
+TEST_CASE_METHOD(plain_fixture, "Leaf_Drains_GetsNoWork") {
+  auto leaf = Leaf("plain", "a-1");
+  leaf.draining = true;
+  Register(leaf);
+  for (int i = 0; i < 5; ++i) Request("/read/x");
+  for (const auto& send : TakeSends()) CHECK(send.instance != leaf.instance);
+}
+
+// Guards against requests that reach a leaf after its drain time.
+TEST_CASE_METHOD(plain_fixture, "Leaf_OnlyOneAndDrained_RequestIsRefused") {
+  Remove("plain@b-1");
+  Remove("plain@c-1");
+  auto leaf = Leaf("plain", "a-1");
+  leaf.draining = true;
+  Register(leaf);
+  Request("/read/x");
+  CHECK(TakeSends().size() == 1);
+  Pass(milliseconds(1900));
+  const auto id = Request("/read/x");
+  CHECK(TakeSends().empty());
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->status == 503);
+}
+
+// Guards against losing leafs whose entries lapsed while the store was down.
+TEST_CASE_METHOD(plain_fixture, "Leaf_EntryLapsesAndReturns_KeepsServing") {
+  for (const char* zone : {"a-1", "b-1", "c-1"}) {
+    Remove(std::string("plain@") + zone);
+  }
+  Request("/read/x");
+  CHECK(TakeSends().size() == 1);
+  Pass(milliseconds(1500));
+  Register(Leaf("plain", "a-1"));
+  Pass(milliseconds(2000));
+  Request("/read/x");
+  CHECK(TakeSends().size() == 1);
+}
+
+// Guards against a leaf that gets work although nothing listens there.
+TEST_CASE_METHOD(plain_fixture, "Leaf_Unreachable_IsProbedBeforeItGetsWork") {
+  Request("/read/x");
+  const auto first = One();
+  refuse_connections = true;
+  Fail(first, leaf_failure::not_sent);
+  const auto second = One();
+  Reply(second, Good(second));
+  const auto before = Connects().size();
+  Pass(milliseconds(4000));
+  REQUIRE(Connects().size() > before);
+  CHECK(Connects().back().leaf == first.leaf);
+  Request("/read/x");
+  const auto third = One();
+  CHECK(third.instance != first.instance);
+  Reply(third, Good(third));
+  refuse_connections = false;
+  Pass(milliseconds(8000));
+  Request("/read/x");
+  CHECK(One().instance == first.instance);
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/tests/gateway_query_test.cpp
@@ -0,0 +1,154 @@
+/** @file gateway_query_test.cpp Gathered queries over many shards. */
+
+#include <catch2/catch.hpp>
+
+#include "gateway_fixture.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+class query_fixture : public gateway_fixture {
+ public:
+  query_fixture() {
+    Configure(Config());
+    RegisterAll({"a-1", "b-1", "c-1"});
+    TakeSends();
+  }
+};
+
+std::string Record(char c) { return std::string(16, c); }
+
+}  // namespace
+
+// Guards against an answer that lacks a shard or orders records wrongly.
+TEST_CASE_METHOD(query_fixture, "Query_AllPartsAnswer_MergesGreatestRecords") {
+  const auto id = Request("/query/x");
+  const auto sends = TakeSends();
+  REQUIRE(sends.size() == 4);
+  Reply(sends[0], Good(sends[0], Record('a') + Record('z') + "short"));
+  Reply(sends[1], Good(sends[1], Record('\xff')));
+  Reply(sends[2], Good(sends[2], ""));
+  CHECK(AnswerOf(id) == nullptr);
+  Reply(sends[3], Good(sends[3], Record('z')));
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->status == 200);
+  CHECK(answer->missing_parts == 0);
+  CHECK(answer->part_proofs.size() == 4);
+  CHECK(answer->body == Record('\xff') + Record('z') + Record('z'));
+}
+
+// Guards against waiting for one late shard beyond the objective.
+TEST_CASE_METHOD(query_fixture, "Query_OneShardSilent_AnswersWithinObjective") {
+  const auto id = Request("/query/x");
+  auto sends = TakeSends();
+  for (std::size_t i = 0; i < 3; ++i) Reply(sends[i], Good(sends[i]));
+  Pass(milliseconds(149));
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->missing_parts == 1);
+  CHECK(answer->part_proofs.size() == 3);
+}
+
+// Guards against an answer below the share that makes it useful.
+TEST_CASE_METHOD(query_fixture, "Query_TwoShardsFail_IsNotCalledNotRun") {
+  const auto id = Request("/query/x");
+  for (int round = 0; round < 2; ++round) {
+    for (const auto& send : TakeSends()) {
+      const bool fails = send.instance.starts_with("s0") ||
+                         send.instance.starts_with("s1");
+      if (fails) {
+        Fail(send, leaf_failure::broken);
+      } else {
+        Reply(send, Good(send));
+      }
+    }
+  }
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->status == 502);
+  CHECK_FALSE(answer->retry_after);
+}
+
+// Guards against a late part whose shard has another replica.
+TEST_CASE_METHOD(query_fixture, "Query_LeafLate_AsksASecondLeafOnce") {
+  const auto id = Request("/query/x");
+  auto sends = TakeSends();
+  for (std::size_t i = 0; i < 3; ++i) Reply(sends[i], Good(sends[i]));
+  Pass(milliseconds(130));
+  const auto hedges = TakeSends();
+  REQUIRE(hedges.size() == 1);
+  CHECK(hedges[0].instance != sends[3].instance);
+  Reply(hedges[0], Good(hedges[0]));
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->missing_parts == 0);
+  // The answer of the first leaf comes later and must not be counted again.
+  Reply(sends[3], Good(sends[3]));
+  CHECK(AnswersOf(id) == 1);
+  CHECK(Core().OpenCalls() == 0);
+}
+
+// Guards against more leafs than the route allows for one shard.
+TEST_CASE_METHOD(query_fixture, "Query_LeafsFail_AsksNoMoreThanAttempts") {
+  Request("/query/x");
+  std::size_t asked = 0;
+  for (int round = 0; round < 5; ++round) {
+    for (const auto& send : TakeSends()) {
+      if (!send.instance.starts_with("s0")) continue;
+      ++asked;
+      Fail(send, leaf_failure::broken);
+    }
+  }
+  CHECK(asked == 2);
+}
+
+// Guards against a proof that stands twice, which spoils the whole answer.
+TEST_CASE_METHOD(query_fixture, "Query_ProofStandsTwice_CountsOnce") {
+  const auto id = Request("/query/x");
+  for (const auto& send : TakeSends()) {
+    auto answer = Good(send);
+    if (send.instance.starts_with("s1")) answer.proof = "s0";
+    if (send.instance.starts_with("s0")) answer.proof = "s0";
+    Reply(send, answer);
+  }
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->part_proofs.size() == 3);
+  CHECK(answer->missing_parts == 1);
+}
+
+// Guards against leafs that work for a client that left.
+TEST_CASE_METHOD(query_fixture, "Query_ClientLeaves_CancelsLeafRequests") {
+  const auto id = Request("/query/x");
+  const auto sends = TakeSends();
+  Leave(id);
+  CHECK(Cancelled().size() == sends.size());
+  CHECK(Core().OpenCalls() == 0);
+  CHECK(Core().OpenExchanges() == 0);
+}
+
+// Guards against parts from the shards of two configurations in one answer.
+TEST_CASE_METHOD(query_fixture, "Query_ConfigChangesMeanwhile_KeepsItsShards") {
+  const auto id = Request("/query/x");
+  const auto sends = TakeSends();
+  Configure(Config(2, 2));
+  for (const auto& send : sends) Reply(send, Good(send));
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->part_proofs.size() == 4);
+  Request("/query/x");
+  CHECK(TakeSends().size() == 2);
+}
+
+// Guards against holding a query whose shards are all known to be gone.
+TEST_CASE_METHOD(query_fixture, "Query_NoLeafOfEnoughShards_RefusedAtOnce") {
+  Configure(Config(2, 9));
+  const auto id = Request("/query/x");
+  const auto* answer = AnswerOf(id);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->retry_after.has_value() == (answer->status == 503));
+}
+
+}  // namespace corianderrail::gateway
