Count a leaf's refusals as failures when placing

Refusals now raise the failure rate, and a failure costs the whole objective when leafs are compared.

The log line writer keeps its descriptor: a duplicate lost all lines on the platform.

--- a/packages/edge/http_getter.cpp
+++ b/packages/edge/http_getter.cpp
@@ -99,17 +99,16 @@
     return;
   }
   Limit(std::min(kConnectTimeout, answer_timeout));
-  socket.async_connect(
-      ParseEndpoint(address),
-      [self = shared_from_this(), mine = turn](error_code error) {
-        if (mine != self->turn || !self->done) return;
-        if (error) {
-          self->Finish(std::nullopt);
-          return;
-        }
-        DetectSilence(self->socket);
-        self->Write();
-      });
+  socket.async_connect(ParseEndpoint(address), [self = shared_from_this(),
+                                                mine = turn](error_code error) {
+    if (mine != self->turn || !self->done) return;
+    if (error) {
+      self->Finish(std::nullopt);
+      return;
+    }
+    DetectSilence(self->socket);
+    self->Write();
+  });
 }
 
 void http_getter::state::Write() {
--- a/packages/edge/line_writer.cpp
+++ b/packages/edge/line_writer.cpp
@@ -2,8 +2,6 @@
 
 #include "edge/line_writer.h"
 
-#include <unistd.h>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -12,10 +10,12 @@
 
 line_writer::line_writer(boost::asio::io_context& io, int descriptor,
                          std::size_t bound)
-    : out_(io, ::dup(descriptor)), bound_(bound) {
+    : out_(io, descriptor), bound_(bound) {
   waiting_.reserve(bound);
 }
 
+line_writer::~line_writer() { out_.release(); }
+
 bool line_writer::Write(std::string_view line) {
   if (waiting_.size() + line.size() + 1 > bound_) {
     ++dropped_;
--- a/packages/edge/line_writer.h
+++ b/packages/edge/line_writer.h
@@ -16,8 +16,11 @@
  */
 class line_writer {
  public:
-  /** @param descriptor Is duplicated. */
+  /** @param descriptor Stays open; it becomes non-blocking. */
   line_writer(boost::asio::io_context& io, int descriptor, std::size_t bound);
+  ~line_writer();
+  line_writer(const line_writer&) = delete;
+  line_writer& operator=(const line_writer&) = delete;
 
   /** Appends a line without its line break; false when it was dropped. */
   bool Write(std::string_view line);
--- /dev/null
+++ b/packages/edge/tests/http_getter_test.cpp
@@ -0,0 +1,118 @@
+/** @file http_getter_test.cpp Reads from servers that misbehave. */
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "edge/http_getter.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class getter_fixture {
+ public:
+  getter_fixture()
+      : acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        getter_(io_, Address()) {}
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+  /** Runs until the read ended; the time that it took. */
+  milliseconds Read(duration timeout) {
+    const auto begin = std::chrono::steady_clock::now();
+    bool ended = false;
+    getter_.Get("/", timeout, [&](std::optional<http_result> result) {
+      result_ = std::move(result);
+      ended = true;
+    });
+    while (!ended && io_.run_one_for(seconds(10)) > 0) {
+    }
+    REQUIRE(ended);
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - begin);
+  }
+
+  /** Answers the next connection's first request with these bytes. */
+  void Serve(std::string bytes) {
+    auto peer = std::make_shared<tcp::socket>(io_);
+    peers_.push_back(peer);
+    acceptor_.async_accept(*peer, [this, peer, bytes](auto error) {
+      if (error) return;
+      auto in = std::make_shared<asio::streambuf>();
+      asio::async_read_until(*peer, *in, "\r\n\r\n",
+                             [peer, in, bytes](auto failure, std::size_t) {
+                               if (failure || bytes.empty()) return;
+                               asio::write(*peer, asio::buffer(bytes));
+                             });
+    });
+  }
+
+ protected:
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  http_getter getter_;
+  std::optional<http_result> result_;
+  std::vector<std::shared_ptr<tcp::socket>> peers_;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(getter_fixture, "Getter_WholeAnswer_GivesStatusAndBody") {
+  Serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  Read(seconds(5));
+  REQUIRE(result_);
+  CHECK(result_->status == 200);
+  CHECK(result_->body == "ok");
+}
+
+// Guards against a connect that hangs for as long as a watch may wait: a host
+// whose partition healed would not learn of changes for half a minute.
+TEST_CASE_METHOD(getter_fixture, "Getter_ConnectHangs_FailsLongBeforeWatch") {
+  // Nobody accepts, so connections beyond the backlog get no answer.
+  acceptor_.listen(0);
+  std::vector<tcp::socket> filler;
+  for (int i = 0; i < 4; ++i) {
+    filler.emplace_back(io_);
+    filler.back().async_connect(acceptor_.local_endpoint(), [](auto) {});
+  }
+  io_.run_for(milliseconds(50));
+  const milliseconds elapsed = Read(seconds(25));
+  CHECK_FALSE(result_);
+  CHECK(elapsed < seconds(3));
+}
+
+// Guards against waiting for a watch whose connection went silent.
+TEST_CASE_METHOD(getter_fixture, "Getter_Abandoned_EndsAtOnce") {
+  Serve("");
+  asio::steady_timer later(io_, milliseconds(50));
+  later.async_wait([this](auto) { getter_.Abandon(); });
+  CHECK(Read(seconds(25)) < seconds(3));
+  CHECK_FALSE(result_);
+}
+
+// Guards against an answer that is cut off and taken for a whole one.
+TEST_CASE_METHOD(getter_fixture, "Getter_AnswerCutOff_GivesNothing") {
+  Serve("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok");
+  asio::steady_timer later(io_, milliseconds(50));
+  later.async_wait([this](auto) { peers_[0]->close(); });
+  Read(seconds(5));
+  CHECK_FALSE(result_);
+}
+
+}  // namespace corianderrail::edge
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -289,7 +289,7 @@
        {"version", std::to_string(static_cast<std::uint64_t>(Version()))},
        {"status", std::to_string(answer.status)},
        {"elapsed_us", Micros(now - one.arrived)},
-       {"left_us", Micros(one.deadline - now)},
+       {"left_us", one.path == nullptr ? "" : Micros(one.deadline - now)},
        {"parts", std::to_string(one.parts.size())},
        {"answered", std::to_string(answered)},
        {"sends", std::to_string(sends)}}});
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -51,6 +51,8 @@
                                              one.path->goal, now);
     candidate.slowness = leaf->evidence.Slowness(now);
     candidate.failure_rate = leaf->evidence.FailureRate(now);
+    // The budget allows few repeats, so most failures cost the whole part.
+    candidate.failure_cost = one.path->goal;
     candidate.open = leaf->evidence.Open();
     candidate.limit = Limit(*leaf, now);
     candidate.slots = leaf->record.slots;
@@ -134,7 +136,7 @@
   CollectCandidates(one, piece, now);
   const leaf_choice choice = ChooseLeaf(candidates_);
   if (choice.outcome != choice_outcome::chosen) return;
-  if (one.deadline - now < choice.predicted) return;
+  if (now + PredictLatency(candidates_[choice.index]) > one.deadline) return;
   // A doubtful leaf is unlikely to help; what is left of the budget may.
   if (candidates_[choice.index].standing != leaf_standing::sound) return;
   if (!piece.service->budget.Take(repeat_reason::hedge, now)) {
--- a/packages/gateway/leaf_choice.cpp
+++ b/packages/gateway/leaf_choice.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-/** A failed request costs about this many latencies: the time until it is
- *  noticed, and the repeat. */
-constexpr double kFailureCost = 4.0;
-
 /** Latency of a leaf shortly after its start, relative to the usual one. */
 constexpr double kColdFactor = 1.5;
 
@@ -29,11 +25,17 @@
   const double rounds = std::max(1.0, (candidate.open + 1) / slots);
   double latency = static_cast<double>(candidate.expected.count()) *
                    std::max(candidate.slowness, 0.5) * rounds;
-  latency *= 1 + kFailureCost * candidate.failure_rate;
   if (candidate.cold) latency *= kColdFactor;
   return duration(static_cast<duration::rep>(latency));
 }
 
+duration PlacementCost(const leaf_candidate& candidate) {
+  const auto failures = static_cast<duration::rep>(
+      candidate.failure_rate *
+      static_cast<double>(candidate.failure_cost.count()));
+  return PredictLatency(candidate) + duration(failures);
+}
+
 leaf_choice ChooseLeaf(std::span<const leaf_candidate> candidates) {
   leaf_choice best;
   leaf_standing standing = leaf_standing::unusable;
@@ -46,11 +48,11 @@
       }
       continue;
     }
-    const duration predicted = PredictLatency(one);
-    const bool better = one.standing < standing || (one.standing == standing &&
-                                                    predicted < best.predicted);
+    const duration cost = PlacementCost(one);
+    const bool better = one.standing < standing ||
+                        (one.standing == standing && cost < best.cost);
     if (best.outcome == choice_outcome::chosen && !better) continue;
-    best = {choice_outcome::chosen, i, predicted};
+    best = {choice_outcome::chosen, i, cost};
     standing = one.standing;
   }
   return best;
--- a/packages/gateway/leaf_choice.h
+++ b/packages/gateway/leaf_choice.h
@@ -24,6 +24,7 @@
   duration expected{};      ///< Usual latency at its distance.
   double slowness = 1;      ///< Its latency relative to the usual one.
   double failure_rate = 0;  ///< Share of recent requests that failed.
+  duration failure_cost{};  ///< What a failure costs, as a latency.
   std::uint32_t open = 0;   ///< Requests of this host that it has open.
   std::uint32_t limit = 0;  ///< Most requests of this host.
   std::uint32_t slots = 1;  ///< Requests that it runs at the same time.
@@ -41,15 +42,18 @@
 struct leaf_choice {
   choice_outcome outcome = choice_outcome::nothing;
   std::size_t index = 0;  ///< Position of the chosen candidate.
-  duration predicted{};   ///< Latency expected of it.
+  duration cost{};        ///< Its placement cost.
 };
 
 /** Latency expected of a candidate with one more request. */
 duration PredictLatency(const leaf_candidate& candidate);
 
+/** Predicted latency plus the expected cost of a failure. */
+duration PlacementCost(const leaf_candidate& candidate);
+
 /**
- * Picks the usable leaf with the lowest expected latency; a worse standing
- * is taken only when no leaf of a better one has room.
+ * Picks the usable leaf with the lowest cost; a worse standing is taken only
+ * when no leaf of a better one has room.
  */
 leaf_choice ChooseLeaf(std::span<const leaf_candidate> candidates);
 
--- a/packages/gateway/leaf_evidence.cpp
+++ b/packages/gateway/leaf_evidence.cpp
@@ -89,6 +89,7 @@
   open_call taken;
   if (!Take(call, taken)) return;
   last_answer_ = now;
+  CountFailure(now);
   shed_limit_ = std::max(1.0, std::min(ShedLimit(now), open) / 2);
   shed_at_ = now;
 }
@@ -119,9 +120,13 @@
 
 void leaf_evidence::OnProbeFailed(time_point now) { Eject(now); }
 
-void leaf_evidence::AddFailure(time_point now) {
+void leaf_evidence::CountFailure(time_point now) {
   failure_rate_ = FailureRate(now) + kFailureWeight * (1 - FailureRate(now));
   failure_at_ = now;
+}
+
+void leaf_evidence::AddFailure(time_point now) {
+  CountFailure(now);
   if (++streak_ >= kStreakToEject) Eject(now);
 }
 
--- a/packages/gateway/leaf_evidence.h
+++ b/packages/gateway/leaf_evidence.h
@@ -74,6 +74,7 @@
   static constexpr std::uint32_t kStreakToEject = 3;
 
   bool Take(leaf_call call, open_call& taken);
+  void CountFailure(time_point now);
   void AddFailure(time_point now);
   void Eject(time_point now);
 
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -22,8 +22,7 @@
 
   /** Replaces the gateway by one with these settings. */
   void Build(gateway_settings settings) {
-    settings.here = {
-        "a-1", "a", {{"a-1", "a"}, {"b-1", "b"}, {"c-1", "c"}}};
+    settings.here = {"a-1", "a", {{"a-1", "a"}, {"b-1", "b"}, {"c-1", "c"}}};
     if (settings.repeats.slack == 0) settings.repeats.slack = 100;
     core_ = std::make_unique<gateway>(settings);
     Reduce(fleet_event{2, {1, 1}, {1, 1}});
@@ -155,18 +154,14 @@
 
   /** Number of answers of an exchange. */
   std::size_t AnswersOf(exchange_id exchange) const {
-    return static_cast<std::size_t>(
-        std::count_if(answers_.begin(), answers_.end(),
-                      [&](const answer_effect& one) {
-                        return one.exchange == exchange;
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        answers_.begin(), answers_.end(),
+        [&](const answer_effect& one) { return one.exchange == exchange; }));
   }
 
   const std::vector<leaf_call>& Cancelled() const { return cancelled_; }
   const std::vector<log_effect>& Logged() const { return logged_; }
-  const std::vector<connect_leaf_effect>& Connects() const {
-    return connects_;
-  }
+  const std::vector<connect_leaf_effect>& Connects() const { return connects_; }
   gateway& Core() { return *core_; }
   time_point Now() const { return now_; }
 
--- a/packages/gateway/tests/gateway_plain_test.cpp
+++ b/packages/gateway/tests/gateway_plain_test.cpp
@@ -118,7 +118,8 @@
 }
 
 // Guards against a leaf that got the address of another one.
-TEST_CASE_METHOD(plain_fixture, "Request_OtherLeafAtAddress_LeafIsNotAskedAgain") {
+TEST_CASE_METHOD(plain_fixture,
+                 "Request_OtherLeafAtAddress_LeafIsNotAskedAgain") {
   const auto id = Request("/read/x");
   const auto first = One();
   leaf_answer other;
--- a/packages/gateway/tests/gateway_query_test.cpp
+++ b/packages/gateway/tests/gateway_query_test.cpp
@@ -56,8 +56,8 @@
   const auto id = Request("/query/x");
   for (int round = 0; round < 2; ++round) {
     for (const auto& send : TakeSends()) {
-      const bool fails = send.instance.starts_with("s0") ||
-                         send.instance.starts_with("s1");
+      const bool fails =
+          send.instance.starts_with("s0") || send.instance.starts_with("s1");
       if (fails) {
         Fail(send, leaf_failure::broken);
       } else {
--- /dev/null
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -0,0 +1,125 @@
+/** @file store_follower_test.cpp Following a prefix under faults. */
+
+#include "gateway/store_follower.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class follower_fixture {
+ public:
+  follower_fixture() : follower_("p/", {}, 1) {}
+
+  static store_item Item(const std::string& key, std::uint64_t revision) {
+    return {key, revision, false, "v"};
+  }
+
+  /** Passes time until a read is due. */
+  store_read Due() {
+    const time_point wake = follower_.NextWake();
+    REQUIRE(wake != kNever);
+    now_ = std::max(now_, wake);
+    const auto read = follower_.Next(now_);
+    REQUIRE(read);
+    return *read;
+  }
+
+  std::vector<store_item> Reply(std::vector<store_item> items,
+                                std::uint64_t revision, bool more = false) {
+    return follower_.OnReply({std::move(items), revision, more}, now_);
+  }
+
+  /** Lists a and b at revision 10. */
+  void List() {
+    Due();
+    Reply({Item("p/a", 3), Item("p/b", 5)}, 10);
+  }
+
+ protected:
+  store_follower follower_;
+  time_point now_{seconds(1)};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(follower_fixture, "Follower_Listed_WatchesFromThatRevision") {
+  List();
+  const auto read = Due();
+  CHECK(read.kind == store_read_kind::watch);
+  CHECK(read.revision == 10);
+}
+
+// Guards against changes lost between two pages, which are no snapshot.
+TEST_CASE_METHOD(follower_fixture, "Follower_TwoPages_WatchesFromTheFirst") {
+  Due();
+  Reply({Item("p/a", 3)}, 10, true);
+  CHECK(Due().after_key == "p/a");
+  Reply({Item("p/b", 12)}, 14);
+  CHECK(Due().revision == 10);
+  // The event for b comes again and is no news.
+  CHECK(Reply({Item("p/b", 12), Item("p/c", 13)}, 14).size() == 1);
+}
+
+// Guards against going back to what a replica that is behind says.
+TEST_CASE_METHOD(follower_fixture, "Follower_OlderAnswer_IsDropped") {
+  List();
+  Due();
+  CHECK(Reply({Item("p/a", 20)}, 20).size() == 1);
+  Due();
+  CHECK(Reply({Item("p/a", 15)}, 20).empty());
+  Due();
+  follower_.OnFailure(store_failure::compacted, now_);
+  CHECK(Due().kind == store_read_kind::list);
+  CHECK(Reply({Item("p/a", 3)}, 9).empty());
+  CHECK(follower_.Revision() == 20);
+}
+
+// Guards against keys that were removed while the history was dropped.
+TEST_CASE_METHOD(follower_fixture,
+                 "Follower_HistoryGone_ListsAndFindsRemovals") {
+  List();
+  Due();
+  follower_.OnFailure(store_failure::compacted, now_);
+  CHECK(Due().kind == store_read_kind::list);
+  const auto changes = Reply({Item("p/b", 5), Item("p/c", 30)}, 31);
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0].key == "p/c");
+  CHECK(changes[1].key == "p/a");
+  CHECK(changes[1].removed);
+  CHECK(Due().revision == 31);
+}
+
+// Guards against hosts that flood a store that is down.
+TEST_CASE_METHOD(follower_fixture, "Follower_StoreDown_PausesGrowToABound") {
+  List();
+  int reads = 0;
+  const time_point end = now_ + seconds(10);
+  while (now_ < end) {
+    Due();
+    follower_.OnFailure(store_failure::unreachable, now_);
+    ++reads;
+  }
+  CHECK(reads < 25);
+  CHECK(reads > 8);
+  Due();
+  Reply({Item("p/a", 40)}, 40);
+  CHECK_FALSE(follower_.Failing());
+}
+
+// Guards against one read for each change of a series.
+TEST_CASE_METHOD(follower_fixture,
+                 "Follower_AfterChange_PausesBeforeNextWatch") {
+  List();
+  Due();
+  Reply({Item("p/a", 11)}, 11);
+  CHECK(follower_.NextWake() >= now_ + milliseconds(200));
+  CHECK(follower_.NextWake() <= now_ + milliseconds(500));
+}
+
+}  // namespace corianderrail::gateway
