Queue by rank what a leaf cannot answer on time

A part now waits in the host while every leaf would answer it after its objective, in time before late and by rank, and a reset of a connection that never carried an answer counts as a full leaf.

--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -143,6 +143,7 @@
   std::string out_;
   bool writing_ = false;
   bool closed_ = false;
+  bool proven_ = false;    ///< It carried an answer.
   bool watching_ = false;  ///< Waits for bytes or an end while idle.
   clock::time_point idle_since_{};
   clock::duration idle_limit_ = kDefaultIdle;
@@ -207,7 +208,12 @@
         error != http::error::end_of_stream &&
         error != http::error::partial_message;
     if (protocol) ++owner_->counters.malformed;
-    FailCall(protocol ? leaf_failure::malformed : leaf_failure::broken);
+    // A leaf resets connections beyond its limit as soon as they are used.
+    const bool rejected = !proven_ && error == asio::error::connection_reset &&
+                          !parser_->got_some();
+    FailCall(protocol   ? leaf_failure::malformed
+             : rejected ? leaf_failure::rejected
+                        : leaf_failure::broken);
     Close();
     return;
   }
@@ -220,6 +226,7 @@
 }
 
 void leaf_pool::state::connection::Finish(error_code) {
+  proven_ = true;
   platform::http_response message = parser_->release();
   // Bytes after the answer belong to no request, and what is still being
   // written would be read as the next one.
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -67,8 +67,9 @@
   struct open_request;
   struct service_state;
 
-  /** Order of waiting parts: rank, then arrival. */
-  using waiting_key = std::tuple<std::uint32_t, std::uint64_t, std::size_t>;
+  /** Order of waiting parts: on time or late, rank, arrival, position. */
+  using waiting_key =
+      std::tuple<bool, std::uint32_t, std::uint64_t, std::size_t>;
 
   /** A moment at which something may be due. */
   struct timer {
@@ -107,6 +108,7 @@
   bool WaitForRoom(exchange& one, std::size_t index, time_point now);
   void ServeWaiting(service_state& service, time_point now);
   void StopWaiting(exchange& one, std::size_t index);
+  void MoveWaitingBack(exchange& one);
   std::uint32_t Limit(const leaf_state& leaf, time_point now) const;
   void CancelCalls(exchange& one);
 
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -101,7 +101,7 @@
     one.parts[0].service = Service(targets[turn].service);
   }
   for (std::size_t i = 0; i < one.parts.size(); ++i) Place(one, i, now);
-  if (one.path->Gathers()) Schedule(one, one.goal_at);
+  Schedule(one, one.goal_at);
   Schedule(one, one.deadline);
 }
 
@@ -114,6 +114,7 @@
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   exchange& one = *found->second;
+  if (now >= one.goal_at) MoveWaitingBack(one);
   for (std::size_t i = 0; i < one.parts.size(); ++i) {
     part& piece = one.parts[i];
     if (piece.state == part::phase::open && piece.hedge_at <= now) {
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -20,6 +20,9 @@
 /** Least time in which a leaf can answer; less is not worth sending. */
 constexpr duration kLeastWork = std::chrono::milliseconds(2);
 
+/** Waiting parts that are looked at when room becomes free. */
+constexpr std::size_t kMostLooks = 8;
+
 }  // namespace
 
 std::uint32_t gateway::Limit(const leaf_state& leaf, time_point now) const {
@@ -57,6 +60,11 @@
     candidate.limit = Limit(*leaf, now);
     candidate.slots = leaf->record.slots;
     candidate.cold = now < leaf->cold_until;
+    // More work than a leaf answers on time would only queue there; here it
+    // waits by rank, and a gathered query may be answered without it.
+    const bool overloaded =
+        candidate.open > 0 && now + PredictLatency(candidate) > one.goal_at;
+    if (overloaded) candidate.limit = std::min(candidate.limit, candidate.open);
     candidates_.push_back(candidate);
     candidate_leafs_.push_back(leaf);
   }
@@ -153,7 +161,8 @@
  */
 bool gateway::WaitForRoom(exchange& one, std::size_t index, time_point now) {
   part& piece = one.parts[index];
-  const waiting_key key{one.path->rank, one.arrival, index};
+  piece.waits_late = now >= one.goal_at;
+  const waiting_key key{piece.waits_late, one.path->rank, one.arrival, index};
   double parallel = 0;
   duration usual = duration::max();
   for (const leaf_candidate& candidate : candidates_) {
@@ -176,24 +185,44 @@
 void gateway::StopWaiting(exchange& one, std::size_t index) {
   part& piece = one.parts[index];
   if (piece.state != part::phase::waiting) return;
-  piece.service->waiting.erase({one.path->rank, one.arrival, index});
+  piece.service->waiting.erase(
+      {piece.waits_late, one.path->rank, one.arrival, index});
   piece.state = part::phase::unsent;
 }
 
+/** After the objective, parts wait behind those that can still be on time. */
+void gateway::MoveWaitingBack(exchange& one) {
+  for (std::size_t i = 0; i < one.parts.size(); ++i) {
+    part& piece = one.parts[i];
+    if (piece.state != part::phase::waiting || piece.waits_late) continue;
+    auto entry =
+        piece.service->waiting.extract({false, one.path->rank, one.arrival, i});
+    std::get<0>(entry.value()) = true;
+    piece.service->waiting.insert(std::move(entry));
+    piece.waits_late = true;
+  }
+}
+
 /** Gives room that became free to the most urgent parts that wait. */
 void gateway::ServeWaiting(service_state& service, time_point now) {
-  while (!service.waiting.empty()) {
-    const auto [rank, arrival, index] = *service.waiting.begin();
+  std::size_t looked_at = 0;
+  auto next = service.waiting.begin();
+  while (next != service.waiting.end() && looked_at < kMostLooks) {
+    const waiting_key key = *next;
+    const auto [late, rank, arrival, index] = key;
     const auto found = exchanges_.find(arrival);
     if (found == exchanges_.end()) {
-      service.waiting.erase(service.waiting.begin());
+      next = service.waiting.erase(next);
       continue;
     }
+    ++looked_at;
     exchange& one = *found->second;
     StopWaiting(one, index);
     Place(one, index, now);
-    if (one.parts[index].state == part::phase::waiting) return;
-    Advance(arrival, now);
+    const bool waits = one.parts[index].state == part::phase::waiting;
+    // An answer may take other parts of the query off this queue.
+    if (!waits) Advance(arrival, now);
+    next = service.waiting.upper_bound(key);
   }
 }
 
--- a/packages/gateway/leaf_evidence.cpp
+++ b/packages/gateway/leaf_evidence.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /** Latencies beyond this multiple of the usual one count as it. */
-constexpr double kMaxSlowness = 8.0;
+constexpr double kMaxSlowness = 12.0;
 
 /** Weight of one sample that is slower, or faster, than the mean. A leaf that
  *  is fast again is seen at once; one slow request says little. */
@@ -96,6 +96,10 @@
 
 void leaf_evidence::OnFailure(leaf_call call, leaf_failure failure,
                               time_point now) {
+  if (failure == leaf_failure::rejected) {
+    OnShed(call, now);
+    return;
+  }
   open_call taken;
   if (!Take(call, taken)) return;
   AddFailure(now);
