Close surplus idle connections to leafs early

Idle connections beyond the first close after 1.2 s, and hosts near a leaf share two fifths of its limit.

--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -50,6 +50,11 @@
 /** A connection is closed this long before the leaf's own idle limit. */
 constexpr std::chrono::milliseconds kIdleMargin{700};
 
+/** Idle connections beyond the first are closed after this. A leaf counts the
+ *  connections of a host that lost power until its own idle limit, and resets
+ *  those that the restarted host opens beyond its limit. */
+constexpr std::chrono::milliseconds kSurplusIdle{1200};
+
 /** Idle limit towards leafs that state none. */
 constexpr std::chrono::seconds kDefaultIdle{30};
 
@@ -454,7 +459,9 @@
   std::vector<state::connection_ptr> old;
   for (const auto& [handle, to] : state_->leafs) {
     for (const auto& one : to.idle) {
-      if (now >= one->IdleUntil()) old.push_back(one);
+      const bool surplus =
+          one != to.idle.back() && now - one->IdleSince() > kSurplusIdle;
+      if (surplus || now >= one->IdleUntil()) old.push_back(one);
     }
   }
   for (const auto& one : old) one->Close();
--- a/packages/gateway/connection_share.cpp
+++ b/packages/gateway/connection_share.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** Parts of a leaf's connections for the hosts near it and the others. */
-constexpr double kNearPart = 0.5;
+constexpr double kNearPart = 0.4;
 constexpr double kFarPart = 0.35;
 
 /** More open requests than this only queue at the leaf. */
