--- a/packages/gateway/connection_share.cpp
+++ b/packages/gateway/connection_share.cpp
@@ -10,7 +10,7 @@
 
 /** Parts of a leaf's connections for the hosts near it and the others. */
 constexpr double kNearPart = 0.4;
-constexpr double kFarPart = 0.35;
+constexpr double kFarPart = 0.5;
 
 /** More open requests than this only queue at the leaf. */
 constexpr std::uint32_t kMostConnections = 64;
--- a/packages/gateway/leaf_evidence.cpp
+++ b/packages/gateway/leaf_evidence.cpp
@@ -23,7 +23,7 @@
 /** Evidence loses weight by a factor of e in this time, so that a leaf that
  *  gets no work is tried again. */
 constexpr duration kSlownessMemory = std::chrono::seconds(6);
-constexpr duration kFailureMemory = std::chrono::seconds(4);
+constexpr duration kFailureMemory = std::chrono::seconds(10);
 
 /** Weight of one answer in the failure rate. */
 constexpr double kFailureWeight = 0.15;
