--- a/packages/gateway/connection_share.cpp
+++ b/packages/gateway/connection_share.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-/** Parts of a leaf's connections for the hosts near it and the others. */
-constexpr double kNearPart = 0.4;
-constexpr double kFarPart = 0.5;
+/** Parts of a leaf's connections for the hosts near it and the others. Their
+ *  sum exceeds 1: a host opens connections on demand and closes idle ones
+ *  early, and far hosts need many only while their near leaf is in trouble. */
+constexpr double kNearPart = 0.5;
+constexpr double kFarPart = 0.9;
 
 /** More open requests than this only queue at the leaf. */
 constexpr std::uint32_t kMostConnections = 64;
--- a/packages/gateway/connection_share.h
+++ b/packages/gateway/connection_share.h
@@ -13,9 +13,8 @@
 };
 
 /**
- * Connections that this host may hold to a leaf. Hosts near the leaf share
- * two fifths of them, others half; the rest covers connections of ended
- * processes that the leaf has not noticed yet. At least one.
+ * Most connections that this host may hold to a leaf: an equal part of what
+ * the hosts near the leaf, or all others, may hold together. At least one.
  */
 std::uint32_t ConnectionShare(std::uint32_t leaf_limit, const fleet_size& fleet,
                               bool near);
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -188,6 +188,8 @@
         serves ? decision::leaf_listed : decision::leaf_delisted,
         change.key,
         {{"revision", std::to_string(change.revision)},
+         {"service", change.record ? change.record->service : ""},
+         {"zone", change.record ? change.record->zone : ""},
          {"reason", change.unusable ? "unreadable entry"
                     : change.record
                         ? change.record->draining ? "draining" : "ready"
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -300,7 +300,7 @@
 void gateway::Answer(exchange& one, client_answer answer, time_point now) {
   for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
   if (answer.cause == refusal_cause::none) {
-    const bool late = one.path != nullptr && now > one.goal_at;
+    const bool late = one.path != nullptr && now > one.arrived + one.path->goal;
     if (late) ++counters_.late;
     if (late || answer.missing_parts > 0) {
       std::string missing;
--- a/packages/gateway/route_stats.cpp
+++ b/packages/gateway/route_stats.cpp
@@ -20,7 +20,7 @@
 constexpr int kLateFactor = 2;
 
 /** Quantile from which an answer is late enough for a second request. */
-constexpr double kLateQuantile = 0.93;
+constexpr double kLateQuantile = 0.9;
 
 duration Extra(std::string_view zone, const location& here) {
   if (zone == here.zone) return {};
