Take a reset while connecting for a full leaf

Such a leaf now keeps its standing, its requests wait for the open connections, and no new one is tried for 0.3 s.

--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -55,6 +55,9 @@
  *  those that the restarted host opens beyond its limit. */
 constexpr std::chrono::milliseconds kSurplusIdle{1200};
 
+/** A leaf that had too many connections is not asked for more meanwhile. */
+constexpr std::chrono::milliseconds kFullPause{300};
+
 /** Idle limit towards leafs that state none. */
 constexpr std::chrono::seconds kDefaultIdle{30};
 
@@ -75,6 +78,9 @@
 
 }  // namespace
 
+/** How an attempt to open a connection ended. */
+enum class open_outcome : std::uint8_t { open, full, failed };
+
 struct leaf_pool::state : std::enable_shared_from_this<leaf_pool::state> {
   class connection;
   using connection_ptr = std::shared_ptr<connection>;
@@ -82,10 +88,11 @@
   /** All connections to one leaf. */
   struct leaf {
     std::string address;
-    std::uint32_t most = 1;     ///< Connections allowed.
-    std::uint32_t opening = 0;  ///< Not connected yet.
-    bool probed = false;        ///< connect_leaf_effect awaits its event.
-    bool forgotten = false;     ///< Closes once idle.
+    std::uint32_t most = 1;          ///< Connections allowed.
+    std::uint32_t opening = 0;       ///< Not connected yet.
+    clock::time_point full_until{};  ///< It had too many connections.
+    bool probed = false;             ///< connect_leaf_effect awaits its event.
+    bool forgotten = false;          ///< Closes once idle.
     std::vector<connection_ptr> all;
     std::vector<connection_ptr> idle;  ///< Most recently used last.
     std::deque<gateway::send_leaf_effect> pending;
@@ -97,7 +104,8 @@
   leaf& Leaf(leaf_handle handle, const std::string& address);
   void Serve(leaf_handle handle);
   void Open(leaf_handle handle, leaf& to);
-  void OnOpened(leaf_handle handle, const connection_ptr& one, bool ok);
+  void OnOpened(leaf_handle handle, const connection_ptr& one,
+                open_outcome outcome);
   void OnIdle(leaf_handle handle, const connection_ptr& one);
   void OnClosed(leaf_handle handle, const connection_ptr& one);
   void Fail(leaf_call call, leaf_failure failure);
@@ -168,7 +176,13 @@
         error_code ignored;
         const bool ok = !error && self->socket_.is_open();
         if (ok) self->socket_.set_option(tcp::no_delay(true), ignored);
-        self->owner_->OnOpened(self->handle_, self, ok);
+        // A leaf beyond its limit accepts and then resets; where nothing
+        // listens, the connection is refused.
+        const bool full = error == asio::error::connection_reset;
+        self->owner_->OnOpened(self->handle_, self,
+                               ok     ? open_outcome::open
+                               : full ? open_outcome::full
+                                      : open_outcome::failed);
         if (ok && !self->current_) self->BecomeIdle();
       });
 }
@@ -340,6 +354,7 @@
   }
   while (to.opening < to.pending.size()) {
     if (to.all.size() >= to.most && to.idle.empty()) break;
+    if (!to.all.empty() && clock::now() < to.full_until) break;
     // An idle connection that is too old makes room for a new one.
     if (to.all.size() >= to.most) to.idle.front()->Close();
     if (to.all.size() >= to.most) break;
@@ -355,12 +370,15 @@
 }
 
 void leaf_pool::state::OnOpened(leaf_handle handle, const connection_ptr& one,
-                                bool ok) {
+                                open_outcome outcome) {
   leaf& to = leafs[handle];
   --to.opening;
+  const bool ok = outcome == open_outcome::open;
   if (std::exchange(to.probed, false)) {
-    asio::post(io, [self = shared_from_this(), handle, ok] {
-      self->sink(gateway::leaf_connected_event{handle, ok});
+    // A leaf that is full does listen.
+    const bool listens = outcome != open_outcome::failed;
+    asio::post(io, [self = shared_from_this(), handle, listens] {
+      self->sink(gateway::leaf_connected_event{handle, listens});
     });
   }
   if (ok) {
@@ -368,10 +386,13 @@
     return;
   }
   ++counters.failed;
-  // While nothing else is open, no other connection can be expected to work.
+  const bool full = outcome == open_outcome::full;
+  if (full) to.full_until = clock::now() + kFullPause;
+  // Pending requests wait for the other connections, if there are any.
   const bool hopeless = to.all.size() == to.opening + 1;
   while (hopeless && !to.pending.empty()) {
-    Fail(to.pending.front().call, leaf_failure::not_sent);
+    Fail(to.pending.front().call,
+         full ? leaf_failure::full : leaf_failure::not_sent);
     to.pending.pop_front();
   }
   one->Close();
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -126,7 +126,8 @@
     exchange& one = *owner->second;
     std::erase(one.calls, happening.call);
     --one.parts[call.part].open;
-    const bool ran = happening.failure != leaf_failure::not_sent;
+    const bool ran = happening.failure != leaf_failure::not_sent &&
+                     happening.failure != leaf_failure::full;
     if (!ran) std::erase(one.parts[call.part].asked, call.leaf);
     TakeFailure(one, call.part, ran, now);
     Advance(call.exchange, now);
--- a/packages/gateway/leaf_evidence.cpp
+++ b/packages/gateway/leaf_evidence.cpp
@@ -96,7 +96,7 @@
 
 void leaf_evidence::OnFailure(leaf_call call, leaf_failure failure,
                               time_point now) {
-  if (failure == leaf_failure::rejected) {
+  if (failure == leaf_failure::rejected || failure == leaf_failure::full) {
     OnShed(call, now);
     return;
   }
--- a/packages/gateway/message_type.h
+++ b/packages/gateway/message_type.h
@@ -58,6 +58,7 @@
 enum class leaf_failure : std::uint8_t {
   not_sent,   ///< No byte was written: no connection in time, or refused.
   broken,     ///< The connection ended after the request was written.
+  full,       ///< No byte was written: the leaf has too many connections.
   rejected,   ///< A new connection ended before any answer: too many.
   malformed,  ///< Bytes that are no answer, or an answer to another request.
   timed_out,  ///< No answer within the time of the request.
