Probe the store by a short watch after a failure

The first watch after a failure is now 0.5 s long, others 5 s, and the time for an answer grows only while reads keep failing.

--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -14,9 +14,6 @@
 
 using gateway::store_read_kind;
 
-/** Longest time for an answer beyond the wait that was asked for. */
-constexpr duration kAnswerTimeout = std::chrono::milliseconds(2500);
-
 }  // namespace
 
 store_link::store_link(boost::asio::io_context& io, const std::string& address,
@@ -39,7 +36,7 @@
   const auto read = follower_.Next(Now());
   if (read) {
     ++calls_;
-    getter_.Get(platform::EncodeRead(*read), read->wait + kAnswerTimeout,
+    getter_.Get(platform::EncodeRead(*read), read->timeout,
                 [this, kind = read->kind](std::optional<http_result> result) {
                   OnResult(kind, std::move(result));
                 });
--- a/packages/gateway/store_follower.cpp
+++ b/packages/gateway/store_follower.cpp
@@ -23,8 +23,13 @@
   } else {
     read.kind = store_read_kind::watch;
     read.revision = revision_;
-    read.wait = settings_.watch_wait;
+    read.wait = Failing() ? settings_.probe_wait : settings_.watch_wait;
   }
+  // A store that is slow for all reads needs more time, not more reads.
+  const std::uint32_t doublings = std::min<std::uint32_t>(failures_ / 3, 4);
+  read.timeout =
+      read.wait + std::min(settings_.answer_timeout * (1 << doublings),
+                           settings_.longest_timeout);
   return read;
 }
 
--- a/packages/gateway/store_follower.h
+++ b/packages/gateway/store_follower.h
@@ -16,7 +16,16 @@
 
 /** Timing of reads from the store. */
 struct store_follower_settings {
-  duration watch_wait = std::chrono::seconds(25);  ///< Longest watch.
+  /** Longest watch. A watch whose answer was lost cannot be told from one
+   *  that waits, so its length delays changes after an outage. */
+  duration watch_wait = std::chrono::seconds(5);
+
+  /** First watch after a failure; it shows whether the store answers. */
+  duration probe_wait = std::chrono::milliseconds(500);
+
+  /** Time for an answer beyond the wait, and its bound while reads fail. */
+  duration answer_timeout = std::chrono::milliseconds(1500);
+  duration longest_timeout = std::chrono::seconds(6);
 
   /** Pause after a change, so that changes in a row cost one read. */
   duration settle = std::chrono::milliseconds(250);
--- a/packages/gateway/store_type.h
+++ b/packages/gateway/store_type.h
@@ -43,6 +43,7 @@
   std::string after_key;       ///< Listing: continue after this key.
   std::uint64_t revision = 0;  ///< Watch: changes after this revision.
   duration wait{};             ///< Watch: longest wait for a change.
+  duration timeout{};          ///< Longest time for the answer, wait included.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -112,6 +112,39 @@
   CHECK_FALSE(follower_.Failing());
 }
 
+// Guards against a long watch on a connection to a store that accepts but does
+// not answer: changes after its return would stay unknown for half a minute.
+TEST_CASE_METHOD(follower_fixture,
+                 "Follower_AfterFailure_ProbesBeforeLongWatch") {
+  List();
+  CHECK(Due().wait >= seconds(2));
+  follower_.OnFailure(store_failure::unreachable, now_);
+  const auto probe = Due();
+  CHECK(probe.kind == store_read_kind::watch);
+  CHECK(probe.timeout <= milliseconds(2500));
+  Reply({}, 10);
+  CHECK(Due().wait >= seconds(2));
+}
+
+// Guards against a lost answer that keeps changes unknown for longer than the
+// five seconds after which a stable store counts again.
+TEST_CASE_METHOD(follower_fixture,
+                 "Follower_WatchAnswerLost_EndsInSevenSeconds") {
+  List();
+  CHECK(Due().timeout <= seconds(7));
+}
+
+// Guards against reads that never succeed because the store is slow.
+TEST_CASE_METHOD(follower_fixture, "Follower_StoreSlow_AllowsMoreTime") {
+  const auto first = Due().timeout;
+  for (int i = 0; i < 6; ++i) {
+    follower_.OnFailure(store_failure::unreachable, now_);
+    Due();
+  }
+  follower_.OnFailure(store_failure::unreachable, now_);
+  CHECK(Due().timeout >= 3 * first);
+}
+
 // Guards against one read for each change of a series.
 TEST_CASE_METHOD(follower_fixture,
                  "Follower_AfterChange_PausesBeforeNextWatch") {
