Let the clients of a zone share few hosts

With 61 hosts for 140 queries/s, each host saw 0.06 requests/s to a leaf: too little to notice a slow one, too few requests to earn a repeat, and one connection to each leaf used up its limit. Lookups now name the strongest hosts of the client's zone until two of them are not busy; hosts tell each other when half of their processor is in use. Shares of connections and of the repeat slack follow the hosts that take clients, and only these open connections in advance.

--- a/packages/core/member_type.h
+++ b/packages/core/member_type.h
@@ -18,6 +18,7 @@
   std::uint32_t version = 0;   ///< Raised by the member itself to refute.
   member_state state{};        ///< State claimed.
   bool ready = false;          ///< It takes callers and owns services.
+  bool busy = false;           ///< Other hosts should take some of its callers.
   std::string peer_address;    ///< IP number and port for hosts.
   std::string caller_address;  ///< IP number and port for callers.
   std::string zone;            ///< Availability zone.
@@ -29,7 +30,7 @@
 
   template <typename Visitor>
   void VisitFields(Visitor&& visit) {
-    visit(ref, version, state, ready, peer_address, caller_address, zone,
+    visit(ref, version, state, ready, busy, peer_address, caller_address, zone,
           region, capacity, revision);
   }
 };
--- a/packages/core/membership.cpp
+++ b/packages/core/membership.cpp
@@ -195,10 +195,10 @@
 
 void membership::Apply(const member_record& record, time_point now) {
   member_entry& entry = *table_.Find(record.ref.host);
-  const bool visible = entry.record.ref != record.ref ||
-                       entry.record.state != record.state ||
-                       entry.record.ready != record.ready ||
-                       entry.record.capacity != record.capacity;
+  const bool visible =
+      entry.record.ref != record.ref || entry.record.state != record.state ||
+      entry.record.ready != record.ready || entry.record.busy != record.busy ||
+      entry.record.capacity != record.capacity;
   member_record fresh = record;
   if (fresh.ref == entry.record.ref) {
     fresh.revision = std::max(fresh.revision, entry.record.revision);
@@ -300,6 +300,13 @@
   SelfChanged();
 }
 
+void membership::SetBusy(bool busy) {
+  if (self_.busy == busy) return;
+  self_.busy = busy;
+  ++self_.version;
+  SelfChanged();
+}
+
 /** Every message carries this host's record, so no update is queued. */
 void membership::SetRevision(revision_id revision) {
   self_.revision = revision;
--- a/packages/core/membership.h
+++ b/packages/core/membership.h
@@ -55,6 +55,7 @@
 
   /** Changes what this host says about itself and spreads it. */
   void SetReady(bool ready);
+  void SetBusy(bool busy);
   void SetRevision(revision_id revision);
   void SetLeaving();
 
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <csignal>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,7 @@
 #include "edge/store_link.h"
 #include "gateway/entry_choice.h"
 #include "gateway/gateway.h"
+#include "gateway/load_signal.h"
 #include "gateway/stop_timing.h"
 #include "platform/config_codec.h"
 #include "platform/message_codec.h"
@@ -53,6 +55,12 @@
 /** A change reaches all hosts that watch the store within this time. */
 constexpr duration kBehindLimit = std::chrono::milliseconds(800);
 
+/** A link of this many Mbit/s carries about what one core computes: 36 leaf
+ *  requests of 1 KB take 2.5 ms of a core and 0.3 Mbit. */
+constexpr double kMillicoresPerMbps = 8;
+
+constexpr gateway::entry_settings kEntries;
+
 /** Most addresses that a client reads from an answer. */
 constexpr std::size_t kMostEntries = 64;
 
@@ -81,7 +89,10 @@
   self.caller_address = from.client_address;
   self.zone = from.zone;
   self.region = from.region;
-  self.capacity = 100;
+  const double millicores = from.processor_share * from.cores * 1000;
+  const double link = from.link_mbps * kMillicoresPerMbps;
+  self.capacity = static_cast<std::uint32_t>(
+      std::clamp(std::min(millicores, link), 1.0, 1e6));
   return self;
 }
 
@@ -91,6 +102,23 @@
   return settings;
 }
 
+gateway::load_settings MakeLoad(const edge_settings& from) {
+  gateway::load_settings settings;
+  settings.cores = from.processor_share * from.cores;
+  return settings;
+}
+
+/** Processor time of this process so far. */
+duration ProcessorTime() {
+  rusage use{};
+  getrusage(RUSAGE_SELF, &use);
+  const auto micros = [](const timeval& time) {
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::microseconds(time.tv_usec);
+  };
+  return micros(use.ru_utime) + micros(use.ru_stime);
+}
+
 gateway::gateway_settings MakeGateway(const edge_settings& from) {
   gateway::gateway_settings settings;
   settings.here = {from.zone, from.region, from.regions};
@@ -153,6 +181,8 @@
   std::vector<gateway::event> posted;
   std::vector<member_record> members;
   std::uint32_t most_hosts = kLeastHosts;
+  std::uint32_t most_entries = kLeastHosts;
+  gateway::load_signal load;
   time_point behind_since = kNever;  ///< A peer has a newer configuration.
   bool ready = false;
   bool stopping = false;
@@ -186,7 +216,8 @@
                  LeafHandler()),
       signals(io, SIGTERM, SIGINT, SIGHUP),
       wake_timer(io),
-      sweep_timer(io) {}
+      sweep_timer(io),
+      load(MakeLoad(settings)) {}
 
 /** Carries out the effects of an event, and of the events that they cause. */
 void edge_process::state::Reduce(gateway::event happening) {
@@ -265,8 +296,8 @@
       return;
     }
     const auto from = platform::DecodeLookup(target);
-    const auto addresses =
-        gateway::ChooseEntries(members, from.zone, from.region, kMostEntries);
+    const auto addresses = gateway::ChooseEntries(
+        members, from.zone, from.region, kEntries, kMostEntries);
     if (addresses.empty()) {
       lookups.Reply(id, {kUnavailable, {}, {}});
       return;
@@ -375,24 +406,36 @@
 
 void edge_process::state::OnMembers() {
   members = peers.Members();
-  std::uint32_t near = 0;
-  std::uint32_t all = 0;
+  gateway::fleet_event happening;
+  happening.is_entry = false;
+  std::uint32_t hosts = 0;
   for (const member_record& member : members) {
-    if (member.state == member_state::gone) continue;
-    ++all;
-    if (member.region == settings.region) ++near;
+    if (member.state != member_state::gone) ++hosts;
   }
-  most_hosts = std::max(most_hosts, all);
-  std::map<std::string, std::uint32_t> regions;
-  for (const auto& [zone, region] : settings.regions) regions[region] = 0;
-  const auto count =
-      std::max<std::uint32_t>(static_cast<std::uint32_t>(regions.size()), 1);
-  gateway::fleet_event happening;
+  std::uint32_t near = 0;
+  std::uint32_t entries = 0;
+  std::set<std::string_view> regions;
+  for (const auto& [zone, region] : settings.regions) {
+    regions.insert(region);
+    for (const member_record* entry :
+         gateway::ActiveEntries(members, zone, kEntries)) {
+      ++entries;
+      if (region == settings.region) ++near;
+      if (entry->peer_address == settings.peer_address) {
+        happening.is_entry = true;
+      }
+    }
+  }
+  most_hosts = std::max(most_hosts, hosts);
+  most_entries = std::max(most_entries, entries);
   happening.hosts = most_hosts;
-  happening.own_region = {near, all - near};
+  happening.entries = most_entries;
+  happening.own_region = {std::max(near, 1u), entries - near};
   // Seen from a leaf elsewhere: its region is taken to hold an equal share.
-  const std::uint32_t elsewhere = all / count;
-  happening.other_regions = {elsewhere, std::max(all - elsewhere, 1u)};
+  const auto region_count =
+      std::max<std::uint32_t>(static_cast<std::uint32_t>(regions.size()), 1);
+  const std::uint32_t elsewhere = entries / region_count;
+  happening.other_regions = {elsewhere, std::max(entries - elsewhere, 1u)};
   Reduce(std::move(happening));
 }
 
@@ -433,6 +476,7 @@
   metrics_port.Sweep();
   leafs.Sweep();
   CheckBehind();
+  peers.SetBusy(load.Update(ProcessorTime(), Now()));
   EndIfDone();
   sweep_timer.expires_after(kSweepPeriod);
   sweep_timer.async_wait([this](error_code error) {
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -69,6 +69,11 @@
   into.most_descriptors =
       from.Integer("most_descriptors", kLeastDescriptors, kMostDescriptors,
                    presence::optional, into.most_descriptors);
+  into.processor_share = from.Number("processor_share", 0.001, 1024,
+                                     presence::optional, into.processor_share);
+  into.cores = from.Number("cores", 0.01, 1024, presence::optional, into.cores);
+  into.link_mbps =
+      from.Number("link_mbps", 0.1, 1e6, presence::optional, into.link_mbps);
   into.repeat_ratio =
       from.Number("repeat_ratio", 0, 10, presence::optional, into.repeat_ratio);
   into.repeat_slack = from.Number("repeat_slack", 0, 1e9, presence::optional,
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -35,6 +35,9 @@
   std::vector<std::string> seeds;         ///< Peer addresses of some hosts.
   std::string shared_key;                 ///< Signs datagrams between hosts.
   std::uint64_t most_descriptors = 1024;  ///< Of this process.
+  double processor_share = 1;             ///< Part of a core that it may use.
+  double cores = 1;           ///< Speed of the core; 1 is the usual one.
+  double link_mbps = 1000;    ///< Bandwidth of the host's link.
   double repeat_ratio = 0.2;  ///< Repeats a first request, fleet-wide.
   double repeat_slack = 0;    ///< Repeats a window, fleet-wide.
   duration repeat_window = std::chrono::seconds(10);  ///< Its length.
--- a/packages/edge/peer_link.cpp
+++ b/packages/edge/peer_link.cpp
@@ -49,6 +49,12 @@
   Tick();
 }
 
+void peer_link::SetBusy(bool busy) {
+  if (members_.Self().busy == busy) return;
+  members_.SetBusy(busy);
+  Tick();
+}
+
 void peer_link::SetLeaving() {
   members_.SetLeaving();
   Tick();
--- a/packages/edge/peer_link.h
+++ b/packages/edge/peer_link.h
@@ -39,6 +39,7 @@
   void Start(std::function<void()> on_change);
 
   void SetReady(bool ready);
+  void SetBusy(bool busy);
   void SetLeaving();
   void SetRevision(std::uint64_t revision);
 
--- a/packages/gateway/entry_choice.cpp
+++ b/packages/gateway/entry_choice.cpp
@@ -1,4 +1,11 @@
-/** @file entry_choice.cpp Nearest ready hosts. */
+/**
+ * @file entry_choice.cpp Few hosts for few clients.
+ *
+ * A host judges leafs by its own requests. With more hosts than the load
+ * needs, each would see too little to notice a slow leaf, and would hold
+ * connections that leafs limit. So the clients of a zone share as few hosts as
+ * carry them, and more as soon as these are busy.
+ */
 
 #include "gateway/entry_choice.h"
 
@@ -27,12 +34,41 @@
   return member.region == region ? 1 : 2;
 }
 
+bool IsStronger(const member_record* a, const member_record* b) {
+  if (a->capacity != b->capacity) return a->capacity > b->capacity;
+  return a->ref.host < b->ref.host;
+}
+
 }  // namespace
 
+std::vector<const member_record*> ActiveEntries(
+    std::span<const member_record> members, std::string_view zone,
+    const entry_settings& settings) {
+  std::vector<const member_record*> ready;
+  for (const member_record& member : members) {
+    const bool usable = UsabilityOf(member) == usability::ready;
+    if (usable && member.zone == zone) ready.push_back(&member);
+  }
+  std::sort(ready.begin(), ready.end(), IsStronger);
+  std::size_t spare = 0;
+  std::size_t taken = 0;
+  while (taken < ready.size() && spare < settings.spare_hosts) {
+    if (!ready[taken]->busy) ++spare;
+    ++taken;
+  }
+  ready.resize(taken);
+  return ready;
+}
+
 std::vector<std::string> ChooseEntries(std::span<const member_record> members,
                                        std::string_view zone,
                                        std::string_view region,
+                                       const entry_settings& settings,
                                        std::size_t most) {
+  std::vector<std::string> addresses;
+  for (const member_record* member : ActiveEntries(members, zone, settings)) {
+    addresses.push_back(member->caller_address);
+  }
   constexpr int kDistances = 3;
   const auto rank = [&](const member_record& member) {
     return static_cast<int>(UsabilityOf(member)) * kDistances +
@@ -43,10 +79,11 @@
   for (const member_record& member : members) {
     best = std::min(best, rank(member));
   }
-  std::vector<std::string> addresses;
-  if (best >= kNone) return addresses;
+  const bool needs_others = addresses.empty() && best < kNone;
   for (const member_record& member : members) {
-    if (rank(member) == best) addresses.push_back(member.caller_address);
+    if (needs_others && rank(member) == best) {
+      addresses.push_back(member.caller_address);
+    }
   }
   if (addresses.size() > most) addresses.resize(most);
   return addresses;
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -18,6 +18,18 @@
  *  closed, because the leaf's own answer at its limit is evidence. */
 constexpr duration kCallGrace = std::chrono::milliseconds(60);
 
+/**
+ * This host's part of the slack of the repeat budget. Half of the slack is
+ * shared by the hosts that take clients, a quarter by all others; the rest
+ * stays unspent, because a host that was replaced may have spent its share in
+ * the same window.
+ */
+double SlackShare(double slack, const fleet_event& fleet) {
+  const std::uint32_t entries = std::max(fleet.entries, 1u);
+  if (fleet.is_entry) return slack / (2.0 * entries);
+  return slack / (4.0 * std::max(fleet.hosts, 1u));
+}
+
 }  // namespace
 
 gateway::gateway(gateway_settings settings)
@@ -166,9 +178,7 @@
     Service(one.name)->max_connections = one.max_connections;
   }
   Prune();
-  directory_.Visit([&](leaf_state& leaf) {
-    if (SendsTo(leaf.record.service)) Connect(leaf);
-  });
+  ConnectAll();
   next_check_ = std::min(next_check_, now);
   effects_->push_back(log_effect{
       decision::config_in_force,
@@ -197,7 +207,7 @@
                         : "removed"}}});
   }
   for (const std::string& service : touched) {
-    if (SendsTo(service)) {
+    if (is_entry_ && SendsTo(service)) {
       for (leaf_state* leaf : directory_.Of(service)) Connect(*leaf);
     }
     ServeWaiting(*Service(service), now);
@@ -207,10 +217,10 @@
 void gateway::On(fleet_event& happening, time_point) {
   near_fleet_ = happening.own_region;
   far_fleet_ = happening.other_regions;
-  const std::uint32_t hosts = std::max(happening.hosts, 1u);
-  // Half of the slack stays unspent: a host that was replaced may have spent
-  // its share in the same window.
-  slack_share_ = settings_.repeats.slack / (2.0 * hosts);
+  slack_share_ = SlackShare(settings_.repeats.slack, happening);
+  const bool joins = happening.is_entry && !is_entry_;
+  is_entry_ = happening.is_entry;
+  if (joins) ConnectAll();
   for (auto& [name, service] : services_) {
     service->budget.SetSlack(slack_share_);
   }
@@ -288,6 +298,14 @@
   return held;
 }
 
+/** Opens a connection to each leaf before the first request needs it. */
+void gateway::ConnectAll() {
+  if (!is_entry_) return;
+  directory_.Visit([&](leaf_state& leaf) {
+    if (SendsTo(leaf.record.service)) Connect(leaf);
+  });
+}
+
 bool gateway::SendsTo(const std::string& service) const {
   return named_services_.contains(service);
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -96,6 +96,7 @@
   void Prune();
   bool SendsTo(const std::string& service) const;
   void Connect(leaf_state& leaf);
+  void ConnectAll();
 
   // gateway_calls.cpp
   void Place(exchange& one, std::size_t index, time_point now);
@@ -132,6 +133,7 @@
   fleet_size near_fleet_;
   fleet_size far_fleet_;
   double slack_share_ = 0;
+  bool is_entry_ = true;
   std::set<std::string, std::less<>> named_services_;
   std::unordered_map<std::string, std::shared_ptr<service_state>> services_;
   std::unordered_map<std::string, std::shared_ptr<route_stats>> stats_;
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -57,9 +57,11 @@
 
 /** The number of hosts changed. */
 struct fleet_event {
-  std::uint32_t hosts = 1;   ///< Most hosts that may share a bound.
-  fleet_size own_region;     ///< Seen from a leaf in this host's region.
-  fleet_size other_regions;  ///< Seen from a leaf elsewhere, on average.
+  std::uint32_t hosts = 1;    ///< Most hosts that may share a bound.
+  std::uint32_t entries = 1;  ///< Hosts that take clients.
+  bool is_entry = true;       ///< This host is one of them.
+  fleet_size own_region;      ///< Seen from a leaf in this host's region.
+  fleet_size other_regions;   ///< Seen from a leaf elsewhere, on average.
 };
 
 /** Time passed. */
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -25,7 +25,7 @@
     settings.here = {"a-1", "a", {{"a-1", "a"}, {"b-1", "b"}, {"c-1", "c"}}};
     if (settings.repeats.slack == 0) settings.repeats.slack = 100;
     core_ = std::make_unique<gateway>(settings);
-    Reduce(fleet_event{2, {1, 1}, {1, 1}});
+    Reduce(fleet_event{2, 2, true, {1, 1}, {1, 1}});
   }
 
   /** A gathered route "query", a plain one "read" and a write "order". */
--- a/packages/wire/peer_codec.h
+++ b/packages/wire/peer_codec.h
@@ -13,7 +13,7 @@
 namespace corianderrail {
 
 /** First byte of each message; rises with each incompatible change. */
-inline constexpr std::uint8_t kPeerWireVersion = 1;
+inline constexpr std::uint8_t kPeerWireVersion = 2;
 
 /** Largest encoded message. */
 inline constexpr std::size_t kPeerMessageLimit = 8u << 20;
