Read the store by one host a zone, relay to the others

The hosts of a zone rank each other alike; the first reads the store, the others read from it by long polls that tell how old the items are. A source that fails, or whose items are older than 7 s, is passed over for 2.5 s. A host that cannot reach the store reads from any other host.

--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -24,6 +24,7 @@
   peer_link_counters peers;             ///< Datagrams between hosts.
   std::uint64_t members = 0;            ///< Hosts known.
   std::uint64_t store_calls = 0;        ///< Reads from the store.
+  std::uint64_t relay_calls = 0;        ///< Reads from other hosts.
   std::uint64_t store_failures = 0;     ///< Of these, without a reply.
   std::uint64_t log_lines_dropped = 0;  ///< Lines that were not written.
   bool ready = false;                   ///< This host takes clients.
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -24,6 +24,7 @@
 #include "edge/line_writer.h"
 #include "edge/peer_link.h"
 #include "edge/process_time.h"
+#include "edge/relay_server.h"
 #include "edge/store_link.h"
 #include "gateway/entry_choice.h"
 #include "gateway/gateway.h"
@@ -61,6 +62,10 @@
 
 constexpr gateway::entry_settings kEntries;
 
+/** Time for peers to answer before the store is read: one of them may already
+ *  hold what it serves. */
+constexpr std::chrono::milliseconds kJoinTime{400};
+
 /** Most addresses that a client reads from an answer. */
 constexpr std::size_t kMostEntries = 64;
 
@@ -145,11 +150,12 @@
   http_handler ReadyHandler();
   http_handler LookupHandler();
   http_handler MetricsHandler();
-  store_link::handler ConfigHandler();
-  store_link::handler LeafHandler();
+  store_link_settings LinkSettings(
+      std::string_view topic,
+      void (state::*on_changes)(std::vector<gateway::store_item>));
   void OnConfig(std::vector<gateway::store_item> changes);
   void OnLeafs(std::vector<gateway::store_item> changes);
-  void OnReachable(std::string_view store, bool reachable);
+  void StartLinks();
   void OnMembers();
   void CheckReady();
   void WaitForSignal();
@@ -171,11 +177,14 @@
   http_port lookups;
   http_port metrics_port;
   peer_link peers;
+  relay_server relay;
   store_link config_store;
   store_link leaf_store;
   asio::signal_set signals;
   asio::steady_timer wake_timer;
   asio::steady_timer sweep_timer;
+  asio::steady_timer start_timer;
+  bool links_started = false;
   time_point wake_at = kNever;
   bool reducing = false;
   std::vector<gateway::event> posted;
@@ -206,17 +215,13 @@
                    settings.most_descriptors / kCheckPart, MetricsHandler()),
       peers(io, MakeSelf(settings), MakeMembership(settings),
             settings.shared_key, RandomSeed()),
-      config_store(io, settings.store_address,
-                   gateway::store_follower(std::string(platform::kConfigPrefix),
-                                           {}, RandomSeed()),
-                   ConfigHandler()),
-      leaf_store(io, settings.store_address,
-                 gateway::store_follower(std::string(platform::kLeafPrefix), {},
-                                         RandomSeed()),
-                 LeafHandler()),
+      relay(io, settings.peer_address, settings.most_descriptors / kCheckPart),
+      config_store(io, LinkSettings(platform::kConfigPrefix, &state::OnConfig)),
+      leaf_store(io, LinkSettings(platform::kLeafPrefix, &state::OnLeafs)),
       signals(io, SIGTERM, SIGINT, SIGHUP),
       wake_timer(io),
       sweep_timer(io),
+      start_timer(io),
       load(MakeLoad(settings)) {}
 
 /** Carries out the effects of an event, and of the events that they cause. */
@@ -325,6 +330,7 @@
     from.leafs = leafs.Counters();
     from.peers = peers.Counters();
     from.members = members.size();
+    from.relay_calls = config_store.RelayCalls() + leaf_store.RelayCalls();
     from.store_calls = config_store.Calls() + leaf_store.Calls();
     from.store_failures = config_store.Failures() + leaf_store.Failures();
     from.log_lines_dropped = lines.Dropped() + log.LeftOut();
@@ -336,23 +342,27 @@
   return handler;
 }
 
-store_link::handler edge_process::state::ConfigHandler() {
-  return {[this](std::vector<gateway::store_item> changes) {
-            OnConfig(std::move(changes));
-          },
-          [this](bool reachable) { OnReachable("configuration", reachable); }};
-}
-
-store_link::handler edge_process::state::LeafHandler() {
-  return {[this](std::vector<gateway::store_item> changes) {
-            OnLeafs(std::move(changes));
-          },
-          [this](bool reachable) { OnReachable("leafs", reachable); }};
-}
-
-void edge_process::state::OnReachable(std::string_view store, bool reachable) {
-  const decision_input inputs[] = {{"follows", std::string(store)}};
-  log.WriteEvent(reachable ? "store_regained" : "store_lost", inputs);
+store_link_settings edge_process::state::LinkSettings(
+    std::string_view topic,
+    void (state::*on_changes)(std::vector<gateway::store_item>)) {
+  store_link_settings link;
+  link.topic = std::string(topic);
+  link.store_address = settings.store_address;
+  link.self = HostIdOf(settings.peer_address);
+  link.zone = settings.zone;
+  link.seed = RandomSeed();
+  link.members = [this] { return members; };
+  link.on_news = [this, name = link.topic, on_changes](store_news news) {
+    relay.Publish(name, news.changes, news.revision, news.confirmed);
+    (this->*on_changes)(std::move(news.changes));
+  };
+  link.on_source = [this, name = link.topic](std::string_view source,
+                                             bool reachable) {
+    const decision_input inputs[] = {{"topic", name},
+                                     {"source", std::string(source)}};
+    log.WriteEvent(reachable ? "source_in_use" : "source_lost", inputs);
+  };
+  return link;
 }
 
 void edge_process::state::OnConfig(std::vector<gateway::store_item> changes) {
@@ -404,8 +414,16 @@
   peers.SetReady(true);
 }
 
+/** Reads from the store or a peer, once peers had time to answer. */
+void edge_process::state::StartLinks() {
+  if (std::exchange(links_started, true)) return;
+  config_store.Start();
+  leaf_store.Start();
+}
+
 void edge_process::state::OnMembers() {
   members = peers.Members();
+  if (members.size() > 1) StartLinks();
   gateway::fleet_event happening;
   happening.is_entry = false;
   std::uint32_t hosts = 0;
@@ -475,6 +493,7 @@
   lookups.Sweep();
   metrics_port.Sweep();
   leafs.Sweep();
+  relay.Sweep(Now());
   CheckBehind();
   peers.SetBusy(load.Update(ProcessorTime(), Now()));
   EndIfDone();
@@ -527,8 +546,10 @@
   self.WaitForSignal();
   self.peers.Start([&self] { self.OnMembers(); });
   self.OnMembers();
-  self.config_store.Start();
-  self.leaf_store.Start();
+  self.start_timer.expires_after(kJoinTime);
+  self.start_timer.async_wait([&self](error_code error) {
+    if (!error) self.StartLinks();
+  });
   self.Sweep();
   self.io.run();
 }
--- /dev/null
+++ b/packages/edge/relay_codec.cpp
@@ -0,0 +1,130 @@
+/** @file relay_codec.cpp MessagePack of relayed items. */
+
+#include "edge/relay_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "wire/wire_error.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+using gateway::store_failure;
+using gateway::store_item;
+using gateway::store_read_kind;
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+
+constexpr std::string_view kList = "list";
+constexpr std::string_view kChanges = "changes";
+
+/** Longest wait that a host grants another one. */
+constexpr std::uint64_t kLongestWaitMs = 30'000;
+
+std::uint64_t Number(std::string_view text) {
+  std::uint64_t value = 0;
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool whole = read.ptr == text.data() + text.size();
+  if (text.empty() || !whole || read.ec != std::errc()) {
+    throw wire_error(wire_error::kind::wrong_type,
+                     "relay request holds no whole number");
+  }
+  return value;
+}
+
+/** Takes the text up to the next slash. */
+std::string_view NextPart(std::string_view& rest) {
+  const std::size_t slash = std::min(rest.find('/'), rest.size());
+  const std::string_view part = rest.substr(0, slash);
+  rest.remove_prefix(std::min(slash + 1, rest.size()));
+  return part;
+}
+
+json::binary_t Bytes(const std::string& from) {
+  return json::binary_t(std::vector<std::uint8_t>(from.begin(), from.end()));
+}
+
+}  // namespace
+
+// The topic comes last, because it may contain slashes.
+std::string EncodeRelayRequest(const relay_request& request) {
+  const bool list = request.kind == store_read_kind::list;
+  const auto wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(request.wait);
+  std::string target(kRelayPath);
+  target += '/';
+  target += list ? kList : kChanges;
+  target += '/' + std::to_string(request.revision);
+  target += '/' + std::to_string(wait.count());
+  target += '/' + request.topic;
+  return target;
+}
+
+relay_request DecodeRelayRequest(std::string_view target) {
+  std::string_view rest = target;
+  if (!rest.starts_with(kRelayPath) || rest.size() < kRelayPath.size() + 1) {
+    throw wire_error(wire_error::kind::bad_syntax, "not a relay request");
+  }
+  rest.remove_prefix(kRelayPath.size() + 1);
+  relay_request request;
+  const std::string_view kind = NextPart(rest);
+  if (kind != kList && kind != kChanges) {
+    throw wire_error(wire_error::kind::bad_syntax,
+                     "relay request of an unknown kind");
+  }
+  request.kind = kind == kList ? store_read_kind::list : store_read_kind::watch;
+  request.revision = Number(NextPart(rest));
+  const std::uint64_t wait = Number(NextPart(rest));
+  request.wait = std::chrono::milliseconds(std::min(wait, kLongestWaitMs));
+  request.topic = std::string(rest);
+  return request;
+}
+
+std::string EncodeRelayReply(const relay_reply& reply) {
+  json items = json::array();
+  for (const store_item& item : reply.items.items) {
+    items.push_back(json::array(
+        {item.key, item.revision, item.removed, Bytes(item.value)}));
+  }
+  const json document = {{"revision", reply.items.revision},
+                         {"age_us", reply.age.count()},
+                         {"items", std::move(items)}};
+  const auto bytes = json::to_msgpack(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+std::variant<relay_reply, store_failure> DecodeRelayReply(
+    int status, std::string_view body) {
+  if (status == kGone) return store_failure::compacted;
+  if (status != kOk) return store_failure::refused;
+  try {
+    const json document = json::from_msgpack(body);
+    relay_reply reply;
+    reply.items.revision = document.at("revision").get<std::uint64_t>();
+    reply.age = duration(
+        std::max<std::int64_t>(document.at("age_us").get<std::int64_t>(), 0));
+    for (const json& one : document.at("items")) {
+      store_item item;
+      item.key = one.at(0).get<std::string>();
+      item.revision = one.at(1).get<std::uint64_t>();
+      item.removed = one.at(2).get<bool>();
+      const auto& bytes = one.at(3).get_binary();
+      item.value.assign(bytes.begin(), bytes.end());
+      reply.items.items.push_back(std::move(item));
+    }
+    return reply;
+  } catch (const json::exception&) {
+    return store_failure::unreadable;
+  }
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/relay_server.cpp
@@ -0,0 +1,101 @@
+/** @file relay_server.cpp Long polls over the mirrors of a host. */
+
+#include "edge/relay_server.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "edge/process_time.h"
+#include "wire/wire_error.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+using gateway::store_read_kind;
+using gateway::store_reply;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+relay_server::relay_server(boost::asio::io_context& io,
+                           const std::string& address,
+                           std::size_t most_connections)
+    : port_(io, address, most_connections,
+            {[this](request_id id, http_request&& request) {
+               OnRequest(id, std::string(request.target()));
+             },
+             [this](request_id id) {
+               std::erase_if(waiting_, [id](const waiting_request& one) {
+                 return one.id == id;
+               });
+             }}) {}
+
+void relay_server::OnRequest(request_id id, const std::string& target) {
+  waiting_request fresh;
+  try {
+    fresh = {id, DecodeRelayRequest(target), {}};
+  } catch (const wire_error& error) {
+    port_.Reply(id, {kBadRequest, {}, error.what()});
+    return;
+  }
+  const time_point now = Now();
+  fresh.until = now + fresh.request.wait;
+  if (!Answer(fresh, false, now)) waiting_.push_back(std::move(fresh));
+}
+
+/**
+ * Answers a request if there is something to answer.
+ * @param must Answer in any case.
+ */
+bool relay_server::Answer(const waiting_request& one, bool must,
+                          time_point now) {
+  const topic_state& topic = topics_[one.request.topic];
+  if (topic.mirror.Revision() == 0) {
+    if (must) port_.Reply(one.id, {kUnavailable, {}, {}});
+    return must;
+  }
+  const bool list = one.request.kind == store_read_kind::list;
+  std::optional<store_reply> items =
+      list ? topic.mirror.List()
+           : topic.mirror.ChangesAfter(one.request.revision);
+  if (!items) {
+    port_.Reply(one.id, {kGone, {}, {}});
+    return true;
+  }
+  if (!list && items->items.empty() && !must) return false;
+  const relay_reply reply{std::move(*items), now - topic.confirmed};
+  port_.Reply(one.id, {kOk, {}, EncodeRelayReply(reply)});
+  return true;
+}
+
+void relay_server::AnswerAll(time_point now) {
+  std::vector<waiting_request> waiting;
+  waiting.swap(waiting_);
+  for (waiting_request& one : waiting) {
+    if (!Answer(one, now >= one.until, now)) {
+      waiting_.push_back(std::move(one));
+    }
+  }
+}
+
+void relay_server::Publish(const std::string& topic,
+                           std::span<const gateway::store_item> changes,
+                           std::uint64_t revision, time_point confirmed) {
+  topic_state& held = topics_[topic];
+  held.mirror.Apply(changes, revision);
+  held.confirmed = std::max(held.confirmed, confirmed);
+  if (!changes.empty()) AnswerAll(Now());
+}
+
+void relay_server::Sweep(time_point now) {
+  AnswerAll(now);
+  port_.Sweep();
+}
+
+}  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/edge/relay_server.h
@@ -0,0 +1,54 @@
+/** @file relay_server.h Serves store items to other hosts. */
+
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "edge/http_port.h"
+#include "edge/relay_codec.h"
+#include "gateway/store_mirror.h"
+
+namespace corianderrail::edge {
+
+/** Answers relay requests from the mirrors of this host. */
+class relay_server {
+ public:
+  /** @throws boost::system::system_error when the address cannot be used. */
+  relay_server(boost::asio::io_context& io, const std::string& address,
+               std::size_t most_connections);
+
+  /** Takes what this host read, and answers those who wait for it. */
+  void Publish(const std::string& topic,
+               std::span<const gateway::store_item> changes,
+               std::uint64_t revision, time_point confirmed);
+
+  /** Answers requests that waited long enough; closes idle connections. */
+  void Sweep(time_point now);
+
+ private:
+  /** Items of one topic. */
+  struct topic_state {
+    gateway::store_mirror mirror;
+    time_point confirmed{};  ///< When the items were last confirmed.
+  };
+
+  /** A request that waits for a change. */
+  struct waiting_request {
+    request_id id{};
+    relay_request request;
+    time_point until{};
+  };
+
+  void OnRequest(request_id id, const std::string& target);
+  bool Answer(const waiting_request& one, bool must, time_point now);
+  void AnswerAll(time_point now);
+
+  std::map<std::string, topic_state> topics_;
+  std::vector<waiting_request> waiting_;
+  http_port port_;
+};
+
+}  // namespace corianderrail::edge
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -1,4 +1,4 @@
-/** @file store_link.h Follows one prefix of the store over the network. */
+/** @file store_link.h Follows one topic of the store over the network. */
 
 #pragma once
 
@@ -6,25 +6,44 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "core/member_type.h"
 #include "edge/http_getter.h"
+#include "edge/relay_codec.h"
+#include "gateway/source_choice.h"
 #include "gateway/store_follower.h"
 
 namespace corianderrail::edge {
 
-/** Makes the reads that a store_follower asks for. */
+/** Items that were read. */
+struct store_news {
+  std::vector<gateway::store_item> changes;  ///< New, in order of revision.
+  std::uint64_t revision = 0;                ///< Everything up to it is known.
+  time_point confirmed{};                    ///< When the store confirmed it.
+};
+
+/** Where a store_link is and what it tells. */
+struct store_link_settings {
+  std::string topic;          ///< Prefix of the keys.
+  std::string store_address;  ///< Metadata store.
+  host_id self{};             ///< This host.
+  std::string zone;           ///< Its availability zone.
+  std::uint64_t seed = 0;     ///< Of random pauses.
+  std::function<std::vector<member_record>()> members;  ///< All hosts.
+  std::function<void(store_news)> on_news;              ///< After each answer.
+  /** The source was lost, regained or changed. */
+  std::function<void(std::string_view source, bool reachable)> on_source;
+};
+
+/** Makes the reads of a store_follower, from the store or from a peer. */
 class store_link {
  public:
-  /** Called with new changes, and when the store is lost or regained. */
-  struct handler {
-    std::function<void(std::vector<gateway::store_item>)> on_changes;
-    std::function<void(bool reachable)> on_reachable;
-  };
-
-  store_link(boost::asio::io_context& io, const std::string& address,
-             gateway::store_follower follower, handler receiver);
+  store_link(boost::asio::io_context& io, store_link_settings settings);
 
   void Start();
 
@@ -34,21 +53,29 @@
   bool Listed() const { return follower_.Listed(); }
   std::uint64_t Calls() const { return calls_; }
   std::uint64_t Failures() const { return failures_; }
-  std::uint64_t Revision() const { return follower_.Revision(); }
+  std::uint64_t RelayCalls() const { return relay_calls_; }
 
  private:
   void Run();
-  void OnResult(gateway::store_read_kind kind,
-                std::optional<http_result> result);
-  void TellReachable(bool reachable);
+  void ReadStore(const gateway::store_read& read);
+  void ReadPeer(const std::string& address, const gateway::store_read& read);
+  void OnReply(gateway::store_reply reply, duration age);
+  void OnFailure(gateway::store_failure failure);
+  void TellSource(std::string_view source, bool reachable);
 
+  boost::asio::io_context& io_;
+  store_link_settings settings_;
   boost::asio::steady_timer timer_;
-  http_getter getter_;
+  http_getter store_;
+  std::unique_ptr<http_getter> peer_;
+  std::string peer_address_;
   gateway::store_follower follower_;
-  handler receiver_;
-  bool reachable_ = true;
+  gateway::source_choice sources_;
+  std::string told_source_;
+  bool told_reachable_ = true;
   std::uint64_t calls_ = 0;
   std::uint64_t failures_ = 0;
+  std::uint64_t relay_calls_ = 0;
 };
 
 }  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/gateway/source_choice.cpp
@@ -0,0 +1,72 @@
+/**
+ * @file source_choice.cpp Readers of the store.
+ *
+ * Each call to the store counts, and its rates do not grow with the fleet. A
+ * loop of hosts that read from each other cannot hold old items for long: the
+ * age of the items grows with the loop, and old items count as a failure.
+ */
+
+#include "gateway/source_choice.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/stable_hash.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** Key of the rendezvous hash, so that other choices rank hosts otherwise. */
+constexpr std::uint64_t kReaderKey = 0x7265616465727331ULL;
+
+}  // namespace
+
+source_choice::source_choice(host_id self, source_settings settings)
+    : self_(self), settings_(settings) {}
+
+std::optional<std::string> source_choice::Choose(
+    std::span<const member_record> members, const std::string& zone,
+    time_point now) {
+  std::erase_if(avoided_,
+                [&](const auto& entry) { return entry.second <= now; });
+  const bool store_fails = now < store_avoided_;
+  const member_record* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const member_record& member : members) {
+    const bool self = member.ref.host == self_;
+    const bool alive = member.state == member_state::alive;
+    // While the store does not answer this host, any host may help.
+    const bool near = member.zone == zone || store_fails;
+    if (!near || (!self && !alive)) continue;
+    if (self && store_fails) continue;
+    if (avoided_.contains(member.peer_address)) continue;
+    const std::uint64_t weight =
+        RendezvousWeight(kReaderKey, Raw(member.ref.host));
+    if (best != nullptr && weight <= best_weight) continue;
+    best = &member;
+    best_weight = weight;
+  }
+  const bool store = best == nullptr || best->ref.host == self_;
+  current_ = store ? std::nullopt : std::optional(best->peer_address);
+  return current_;
+}
+
+void source_choice::OnFailure(time_point now) {
+  const time_point until = now + settings_.avoid_failed;
+  if (current_) {
+    avoided_[*current_] = until;
+  } else {
+    store_avoided_ = until;
+  }
+}
+
+void source_choice::OnAnswer(duration age, time_point now) {
+  confirmed_ = std::max(confirmed_, now - age);
+  if (current_ && age > settings_.oldest) OnFailure(now);
+}
+
+duration source_choice::Age(time_point now) const { return now - confirmed_; }
+
+}  // namespace corianderrail::gateway
