--- /dev/null
+++ b/packages/gateway/tests/fleet_topics_test.cpp
@@ -0,0 +1,188 @@
+/** @file fleet_topics_test.cpp Entries, sources and shares among hosts. */
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/host_address.h"
+#include "gateway/connection_share.h"
+#include "gateway/entry_choice.h"
+#include "gateway/load_signal.h"
+#include "gateway/source_choice.h"
+#include "gateway/stop_timing.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class fleet_fixture {
+ public:
+  /** Hosts a0 to a4 in zone a, b0 and b1 in zone b, same region; c0 far. */
+  fleet_fixture() {
+    for (int i = 0; i < 5; ++i) Add("a" + std::to_string(i), "a", "r");
+    for (int i = 0; i < 2; ++i) Add("b" + std::to_string(i), "b", "r");
+    Add("c0", "c", "s");
+  }
+
+  void Add(const std::string& name, const std::string& zone,
+           const std::string& region) {
+    member_record member;
+    member.peer_address = name;
+    member.caller_address = name;
+    member.ref.host = HostIdOf(name);
+    member.zone = zone;
+    member.region = region;
+    member.capacity = 100;
+    member.ready = true;
+    members_.push_back(member);
+  }
+
+  member_record& Host(const std::string& name) {
+    for (member_record& member : members_) {
+      if (member.peer_address == name) return member;
+    }
+    throw std::out_of_range(name);
+  }
+
+  std::vector<std::string> Entries(const std::string& zone,
+                                   const std::string& region) const {
+    return ChooseEntries(members_, zone, region, {}, 64);
+  }
+
+ protected:
+  std::vector<member_record> members_;
+};
+
+}  // namespace
+
+// Guards against spreading few clients over hosts that then learn nothing.
+TEST_CASE_METHOD(fleet_fixture, "Entries_HostsCalm_NamesFewStrongOnes") {
+  Host("a3").capacity = 500;
+  Host("a1").capacity = 400;
+  const auto entries = Entries("a", "r");
+  CHECK(entries == std::vector<std::string>{"a3", "a1"});
+}
+
+// Guards against clients that stay with busy hosts while others are idle.
+TEST_CASE_METHOD(fleet_fixture, "Entries_HostsBusy_NamesMore") {
+  Host("a3").capacity = 500;
+  Host("a3").busy = true;
+  Host("a1").capacity = 400;
+  CHECK(Entries("a", "r").size() == 3);
+  for (int i = 0; i < 5; ++i) Host("a" + std::to_string(i)).busy = true;
+  CHECK(Entries("a", "r").size() == 5);
+}
+
+// Guards against naming hosts that stop, and against an empty answer.
+TEST_CASE_METHOD(fleet_fixture, "Entries_ZoneLost_NamesRegionThenAll") {
+  for (int i = 0; i < 5; ++i) {
+    Host("a" + std::to_string(i)).state = member_state::leaving;
+  }
+  CHECK(Entries("a", "r") == std::vector<std::string>{"b0", "b1"});
+  Host("b0").state = member_state::gone;
+  Host("b1").ready = false;
+  CHECK(Entries("a", "r") == std::vector<std::string>{"c0"});
+  Host("c0").state = member_state::leaving;
+  CHECK(Entries("a", "r") == std::vector<std::string>{"b1"});
+}
+
+// Guards against two hosts of a zone that both read the store, and against
+// none that does.
+TEST_CASE_METHOD(fleet_fixture, "Sources_AllHealthy_OneReaderInEachZone") {
+  std::map<std::string, int> readers;
+  for (const member_record& member : members_) {
+    source_choice choice(member.ref.host, {});
+    const auto source =
+        choice.Choose(members_, member.zone, time_point(seconds(9)));
+    if (!source) ++readers[member.zone];
+    if (source) CHECK(Host(*source).zone == member.zone);
+  }
+  CHECK(readers == std::map<std::string, int>{{"a", 1}, {"b", 1}, {"c", 1}});
+}
+
+// Guards against a zone without news after its reader failed.
+TEST_CASE_METHOD(fleet_fixture, "Sources_ReaderFails_NextOneTakesItsPlace") {
+  const time_point now(seconds(9));
+  std::set<std::string> used;
+  source_choice choice(Host("a0").ref.host, {});
+  auto source = choice.Choose(members_, "a", now);
+  while (source) {
+    CHECK(used.insert(*source).second);
+    choice.OnFailure(now);
+    source = choice.Choose(members_, "a", now);
+  }
+  CHECK(choice.ReadsStore());
+  // Later the first one is tried again.
+  choice.OnAnswer({}, now);
+  CHECK(used.size() < 5);
+}
+
+// Guards against a host that the store turns away and that learns nothing.
+TEST_CASE_METHOD(fleet_fixture, "Sources_StoreRefusesHost_ReadsFromAnyPeer") {
+  const time_point now(seconds(9));
+  source_choice choice(Host("c0").ref.host, {});
+  CHECK_FALSE(choice.Choose(members_, "c", now));
+  choice.OnFailure(now);
+  CHECK(choice.Choose(members_, "c", now));
+  CHECK_FALSE(choice.Choose(members_, "c", now + seconds(3)));
+}
+
+// Guards against hosts that keep each other's old items in a loop.
+TEST_CASE_METHOD(fleet_fixture, "Sources_ItemsTooOld_AreNotTrusted") {
+  const time_point now(seconds(99));
+  source_choice choice(Host("c0").ref.host, {});
+  choice.Choose(members_, "c", now);
+  choice.OnFailure(now);
+  const auto first = choice.Choose(members_, "c", now);
+  REQUIRE(first);
+  choice.OnAnswer(seconds(8), now);
+  CHECK(choice.Age(now) == seconds(8));
+  CHECK(choice.Choose(members_, "c", now) != first);
+}
+
+// Guards against a host that flaps between busy and calm.
+TEST_CASE("Load_UseBetweenLimits_KeepsItsState") {
+  load_signal load({0.5, 0.5, 0.25, seconds(1)});
+  time_point now(seconds(1));
+  duration used{};
+  const auto run = [&](double share, int steps) {
+    bool busy = false;
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(100);
+      used += duration(static_cast<duration::rep>(100'000 * 0.5 * share));
+      busy = load.Update(used, now);
+    }
+    return busy;
+  };
+  CHECK_FALSE(run(0.4, 60));
+  CHECK(run(0.9, 60));
+  CHECK(run(0.4, 60));
+  CHECK_FALSE(run(0.1, 60));
+}
+
+// Guards against a host without any connection to a leaf.
+TEST_CASE("Share_ManyHosts_IsNeverZero") {
+  CHECK(ConnectionShare(25, {300, 3000}, true) == 1);
+  CHECK(ConnectionShare(25, {2, 4}, true) == 6);
+  CHECK(ConnectionShare(25, {2, 4}, false) == 5);
+}
+
+// Guards against cutting off clients that still use an old lookup answer.
+TEST_CASE("Stop_ClientsMayStillCome_WaitsForThem") {
+  const stop_settings settings{seconds(6), seconds(1)};
+  const time_point asked(seconds(100));
+  CHECK_FALSE(MayEnd(settings, {asked, asked, 0}, asked + seconds(2)));
+  CHECK(MayEnd(settings, {asked, asked, 0}, asked + milliseconds(3100)));
+  const stop_progress recent{asked, asked + milliseconds(3000), 0};
+  CHECK_FALSE(MayEnd(settings, recent, asked + milliseconds(3100)));
+  CHECK_FALSE(MayEnd(settings, {asked, asked, 1}, asked + seconds(5)));
+  CHECK(MayEnd(settings, {asked, asked, 1}, asked + milliseconds(5900)));
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/tests/placing_topics_test.cpp
@@ -0,0 +1,272 @@
+/** @file placing_topics_test.cpp Choice of leafs, evidence, repeats, timing. */
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <vector>
+
+#include "gateway/answer_timing.h"
+#include "gateway/hedge_timing.h"
+#include "gateway/leaf_choice.h"
+#include "gateway/leaf_evidence.h"
+#include "gateway/record_merge.h"
+#include "gateway/repeat_budget.h"
+#include "gateway/route_table.h"
+#include "gateway/split_turn.h"
+#include "gateway/store_mirror.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+leaf_candidate Candidate(duration expected) {
+  leaf_candidate candidate;
+  candidate.expected = expected;
+  candidate.failure_cost = milliseconds(150);
+  candidate.limit = 8;
+  candidate.slots = 2;
+  return candidate;
+}
+
+const time_point kStart{seconds(50)};
+
+/** Evidence of one leaf with a call at a time. */
+class evidence_fixture {
+ public:
+  leaf_call Send(duration suspect_after = milliseconds(30)) {
+    const leaf_call call{++calls_};
+    evidence_.OnSent({call, now_, milliseconds(10), suspect_after});
+    return call;
+  }
+  void Answer(duration latency) {
+    const leaf_call call = Send();
+    now_ += latency;
+    evidence_.OnAnswer(call, now_);
+  }
+
+ protected:
+  leaf_evidence evidence_;
+  time_point now_ = kStart;
+  std::uint64_t calls_ = 0;
+};
+
+}  // namespace
+
+// Guards against far leafs while the near one is fine.
+TEST_CASE("Choice_AllSound_TakesTheNearest") {
+  const std::vector<leaf_candidate> leafs = {Candidate(milliseconds(50)),
+                                             Candidate(milliseconds(10))};
+  const auto choice = ChooseLeaf(leafs);
+  CHECK(choice.outcome == choice_outcome::chosen);
+  CHECK(choice.index == 1);
+}
+
+// Guards against a near leaf that is slower than the way to a far one, that
+// fails often, or that has a queue.
+TEST_CASE("Choice_NearLeafInTrouble_TakesAFarOne") {
+  std::vector<leaf_candidate> leafs = {Candidate(milliseconds(10)),
+                                       Candidate(milliseconds(50))};
+  SECTION("slow") { leafs[0].slowness = 6; }
+  SECTION("failing") { leafs[0].failure_rate = 0.4; }
+  SECTION("late now") { leafs[0].standing = leaf_standing::doubtful; }
+  SECTION("without room") { leafs[0].open = leafs[0].limit; }
+  SECTION("leaving") { leafs[0].standing = leaf_standing::last_resort; }
+  CHECK(ChooseLeaf(leafs).index == 1);
+}
+
+// Guards against refusing what a doubtful leaf could still serve.
+TEST_CASE("Choice_OnlyBadLeafs_TakesTheLeastBad") {
+  std::vector<leaf_candidate> leafs = {Candidate(milliseconds(10)),
+                                       Candidate(milliseconds(10)),
+                                       Candidate(milliseconds(10))};
+  leafs[0].standing = leaf_standing::unusable;
+  leafs[1].standing = leaf_standing::last_resort;
+  leafs[2].standing = leaf_standing::doubtful;
+  CHECK(ChooseLeaf(leafs).index == 2);
+  leafs[2].open = 8;
+  CHECK(ChooseLeaf(leafs).index == 1);
+  leafs[1].open = 8;
+  CHECK(ChooseLeaf(leafs).outcome == choice_outcome::full);
+}
+
+// Guards against a leaf that pauses and gets all requests meanwhile.
+TEST_CASE_METHOD(evidence_fixture, "Evidence_NoAnswerInTime_LeafIsStalled") {
+  const leaf_call call = Send(milliseconds(30));
+  CHECK_FALSE(evidence_.Stalled(now_ + milliseconds(29)));
+  CHECK(evidence_.Stalled(now_ + milliseconds(30)));
+  now_ += milliseconds(200);
+  evidence_.OnAnswer(call, now_);
+  CHECK_FALSE(evidence_.Stalled(now_));
+}
+
+// Guards against counting one pause once for each request that waited in it.
+TEST_CASE_METHOD(evidence_fixture,
+                 "Evidence_RequestsBehindOnePause_CountOnce") {
+  const leaf_call first = Send();
+  const leaf_call second = Send();
+  const leaf_call third = Send();
+  now_ += milliseconds(200);
+  evidence_.OnAnswer(first, now_);
+  const double after_one = evidence_.Slowness(now_);
+  evidence_.OnAnswer(second, now_);
+  evidence_.OnAnswer(third, now_);
+  CHECK(after_one > 1.5);
+  CHECK(evidence_.Slowness(now_) <= after_one);
+}
+
+// Guards against a slow leaf that is never tried again.
+TEST_CASE_METHOD(evidence_fixture, "Evidence_SlowThenIdle_FadesAway") {
+  for (int i = 0; i < 5; ++i) Answer(milliseconds(120));
+  CHECK(evidence_.Slowness(now_) > 5);
+  CHECK(evidence_.Slowness(now_ + seconds(20)) < 1.5);
+}
+
+// Guards against a leaf that refuses often but looks fast.
+TEST_CASE_METHOD(evidence_fixture, "Evidence_LeafRefuses_CountsAsFailure") {
+  for (int i = 0; i < 10; ++i) {
+    evidence_.OnShed(Send(), now_);
+    Answer(milliseconds(10));
+  }
+  CHECK(evidence_.FailureRate(now_) > 0.3);
+  CHECK(evidence_.ShedLimit(now_) < 3);
+  CHECK_FALSE(evidence_.OnProbation());
+}
+
+// Guards against taking a leaf out of use because its host holds too many
+// connections to it.
+TEST_CASE_METHOD(evidence_fixture, "Evidence_LeafFull_IsNotEjected") {
+  for (int i = 0; i < 6; ++i) {
+    evidence_.OnFailure(Send(), leaf_failure::full, now_);
+  }
+  CHECK_FALSE(evidence_.OnProbation());
+}
+
+// Guards against a budget that a burst of hedges uses up for failures.
+TEST_CASE("Budget_HedgesTakeAll_FailuresStillFindSome") {
+  repeat_budget budget({0.2, 10, seconds(10)});
+  for (int i = 0; i < 100; ++i) budget.OnFirst(kStart);
+  int hedges = 0;
+  while (budget.Take(repeat_reason::hedge, kStart)) ++hedges;
+  int retries = 0;
+  while (budget.Take(repeat_reason::failure, kStart)) ++retries;
+  CHECK(hedges > 10);
+  CHECK(retries > 0);
+  CHECK(hedges + retries <= 30);
+}
+
+// Guards against more repeats in any window than the fleet may make.
+TEST_CASE("Budget_AnyWindow_KeepsTheBound") {
+  constexpr double kRatio = 0.2;
+  constexpr double kSlack = 4;
+  repeat_budget budget({kRatio, kSlack, seconds(10)});
+  std::vector<time_point> first;
+  std::vector<time_point> repeats;
+  for (int step = 0; step < 6000; ++step) {
+    const time_point now = kStart + milliseconds(10) * step;
+    const bool flood = step / 500 % 2 == 0;
+    if (flood || step % 10 == 0) {
+      budget.OnFirst(now);
+      first.push_back(now);
+    }
+    if (budget.Take(repeat_reason::failure, now)) repeats.push_back(now);
+  }
+  const auto within = [](const std::vector<time_point>& all, time_point end) {
+    return std::count_if(all.begin(), all.end(), [&](time_point at) {
+      return at <= end && at > end - seconds(10);
+    });
+  };
+  // The rule compares with the window, or the one half a window earlier.
+  for (const time_point end : repeats) {
+    const auto requests =
+        std::max(within(first, end), within(first, end - seconds(5)));
+    CHECK(within(repeats, end) <=
+          kRatio * static_cast<double>(requests) + kSlack);
+  }
+}
+
+// Guards against hedges that cannot help, and against those that come late.
+TEST_CASE("Hedge_GoalNear_ComesWhileASecondLeafCanAnswer") {
+  hedge_inputs inputs;
+  inputs.sent = kStart;
+  inputs.predicted = inputs.expected = milliseconds(10);
+  inputs.late = milliseconds(60);
+  inputs.alternative = milliseconds(50);
+  inputs.goal_at = kStart + milliseconds(90);
+  CHECK(HedgeAt(inputs) == kStart + milliseconds(40));
+  inputs.goal_at = kStart + milliseconds(500);
+  CHECK(HedgeAt(inputs) == kStart + milliseconds(60));
+  inputs.goal_at = kStart;
+  CHECK(HedgeAt(inputs) == kStart + milliseconds(15));
+}
+
+// Guards against an answer before it is useful, or after it is on time.
+TEST_CASE("Gather_Progress_DecidesWhenToAnswer") {
+  gather_progress progress{
+      10, 8, 2, 0.89, kStart + milliseconds(100), kStart + milliseconds(800)};
+  const auto at = [&](int ms) {
+    return DecideGather(progress, kStart + milliseconds(ms));
+  };
+  CHECK(at(50) == gather_step::wait);
+  CHECK(at(150) == gather_step::wait);
+  CHECK(at(800) == gather_step::fail);
+  progress.answered = 9;
+  progress.open = 1;
+  CHECK(at(50) == gather_step::wait);
+  CHECK(at(100) == gather_step::answer);
+  progress.open = 0;
+  CHECK(at(50) == gather_step::answer);
+  progress.answered = 7;
+  progress.open = 1;
+  CHECK(at(50) == gather_step::fail);
+}
+
+// Guards against shares of a split that drift from their weights.
+TEST_CASE("Split_ManyRequests_FollowsTheWeights") {
+  const std::vector<weighted_service> targets = {{"a", 3}, {"b", 1}};
+  split_turn turn;
+  int first = 0;
+  for (int i = 0; i < 400; ++i) {
+    if (turn.Next(targets) == 0) ++first;
+  }
+  CHECK(first == 300);
+}
+
+// Guards against a route that is found by a part of a path segment.
+TEST_CASE("Routes_LongestPrefix_Wins") {
+  auto config = std::make_shared<routing_config>();
+  for (const char* prefix : {"/", "/a/", "/a/b/"}) {
+    route one;
+    one.name = prefix;
+    one.host = "h";
+    one.prefix = prefix;
+    config->routes.push_back(one);
+  }
+  const route_table table(config);
+  CHECK(table.Find("h", "/a/b/c")->name == "/a/b/");
+  CHECK(table.Find("h", "/a/bc")->name == "/a/");
+  CHECK(table.Find("h", "/x")->name == "/");
+  CHECK(table.Find("h", "x") == nullptr);
+  CHECK(table.Find("other", "/a/") == nullptr);
+}
+
+// Guards against a reader that misses a removal between two reads.
+TEST_CASE("Mirror_ChangesAfter_HoldsRemovalsAndNoGap") {
+  store_mirror mirror;
+  CHECK_FALSE(mirror.List());
+  const std::vector<store_item> listing = {{"a", 3, false, "x"},
+                                           {"b", 4, false, "y"}};
+  mirror.Apply(listing, 10);
+  const std::vector<store_item> changes = {{"a", 11, true, ""},
+                                           {"c", 12, false, "z"}};
+  mirror.Apply(changes, 12);
+  CHECK(mirror.List()->items.size() == 2);
+  const auto after = mirror.ChangesAfter(10);
+  REQUIRE(after);
+  CHECK(after->items.size() == 2);
+  CHECK(after->revision == 12);
+  CHECK_FALSE(mirror.ChangesAfter(9));
+}
+
+}  // namespace corianderrail::gateway
