Hold requests while a host starts, pass over sources that are behind

After a power loss restarted hosts answered 503 for the 60 ms until they knew their routes; such requests now wait for at most 0.4 s. Hosts now tell the revision of their newest change; one that lacks a change for 1 s reads from another source, and two hosts of each zone read the store.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -29,6 +29,7 @@
 #include "gateway/entry_choice.h"
 #include "gateway/gateway.h"
 #include "gateway/load_signal.h"
+#include "gateway/news_check.h"
 #include "gateway/stop_timing.h"
 #include "platform/config_codec.h"
 #include "platform/message_codec.h"
@@ -53,9 +54,6 @@
 constexpr std::size_t kClientPart = 2;
 constexpr std::size_t kCheckPart = 16;
 
-/** A change reaches all hosts that watch the store within this time. */
-constexpr duration kBehindLimit = std::chrono::milliseconds(800);
-
 /** A link of this many Mbit/s carries about what one core computes: 36 leaf
  *  requests of 1 KB take 2.5 ms of a core and 0.3 Mbit. */
 constexpr double kMillicoresPerMbps = 8;
@@ -162,7 +160,7 @@
   void OnSignal(int number);
   void Sweep();
   void Wake();
-  void CheckBehind();
+  void CheckNews();
   void EndIfDone();
 
   edge_settings settings;
@@ -192,7 +190,7 @@
   std::uint32_t most_hosts = kLeastHosts;
   std::uint32_t most_entries = kLeastHosts;
   gateway::load_signal load;
-  time_point behind_since = kNever;  ///< A peer has a newer configuration.
+  gateway::news_check news;
   bool ready = false;
   bool stopping = false;
   gateway::stop_progress stop;
@@ -355,6 +353,7 @@
   link.on_news = [this, name = link.topic, on_changes](store_news news) {
     relay.Publish(name, news.changes, news.revision, news.confirmed);
     (this->*on_changes)(std::move(news.changes));
+    peers.SetRevision(std::max(config_store.Newest(), leaf_store.Newest()));
   };
   link.on_source = [this, name = link.topic](std::string_view source,
                                              bool reachable) {
@@ -385,7 +384,6 @@
   limits.header_timeout = from.header_timeout;
   limits.idle_timeout = from.idle_timeout;
   clients.SetLimits(limits);
-  peers.SetRevision(static_cast<std::uint64_t>(core.Version()));
   CheckReady();
 }
 
@@ -494,7 +492,7 @@
   metrics_port.Sweep();
   leafs.Sweep();
   relay.Sweep(Now());
-  CheckBehind();
+  CheckNews();
   peers.SetBusy(load.Update(ProcessorTime(), Now()));
   EndIfDone();
   sweep_timer.expires_after(kSweepPeriod);
@@ -503,22 +501,17 @@
   });
 }
 
-/** Reads the configuration anew when a peer has had a newer one for a while. */
-void edge_process::state::CheckBehind() {
-  const time_point now = Now();
-  const auto version = static_cast<std::uint64_t>(core.Version());
+/** Reads from another source when peers know changes that this host lacks. */
+void edge_process::state::CheckNews() {
+  const std::uint64_t own =
+      std::max(config_store.Newest(), leaf_store.Newest());
   const std::uint64_t known = peers.HighestRevision();
-  if (known <= version) {
-    behind_since = kNever;
-    return;
-  }
-  if (behind_since == kNever) behind_since = now;
-  if (now < behind_since + kBehindLimit) return;
-  behind_since = now;
-  const decision_input inputs[] = {{"version", std::to_string(version)},
-                                   {"peer_version", std::to_string(known)}};
-  log.WriteEvent("config_behind_peers", inputs);
+  if (!news.Overdue(own, known, Now())) return;
+  const decision_input inputs[] = {{"revision", std::to_string(own)},
+                                   {"peer_revision", std::to_string(known)}};
+  log.WriteEvent("behind_peers", inputs);
   config_store.Hurry();
+  leaf_store.Hurry();
 }
 
 void edge_process::state::EndIfDone() {
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -40,6 +40,7 @@
 
 // An open watch has not told of the change, so its connection may be silent.
 void store_link::Hurry() {
+  sources_.OnFailure(Now());
   store_.Abandon();
   if (peer_) peer_->Abandon();
   follower_.Hurry(Now());
@@ -113,6 +114,9 @@
   store_news news;
   news.changes = follower_.OnReply(std::move(reply), now);
   sources_.OnAnswer(age, now);
+  if (!news.changes.empty()) {
+    newest_ = std::max(newest_, news.changes.back().revision);
+  }
   news.revision = follower_.Listed() ? follower_.Revision() : 0;
   news.confirmed = now - sources_.Age(now);
   TellSource(sources_.ReadsStore() ? kStore : std::string_view(peer_address_),
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -51,6 +51,9 @@
   void Hurry();
 
   bool Listed() const { return follower_.Listed(); }
+
+  /** Revision of the newest change that was read. */
+  std::uint64_t Newest() const { return newest_; }
   std::uint64_t Calls() const { return calls_; }
   std::uint64_t Failures() const { return failures_; }
   std::uint64_t RelayCalls() const { return relay_calls_; }
@@ -73,6 +76,7 @@
   gateway::source_choice sources_;
   std::string told_source_;
   bool told_reachable_ = true;
+  std::uint64_t newest_ = 0;
   std::uint64_t calls_ = 0;
   std::uint64_t failures_ = 0;
   std::uint64_t relay_calls_ = 0;
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -185,6 +185,7 @@
       std::to_string(static_cast<std::uint64_t>(happening.config->version)),
       {{"routes", std::to_string(happening.config->routes.size())},
        {"services", std::to_string(happening.config->services.size())}}});
+  BeginUnrouted(now);
 }
 
 void gateway::On(registry_event& happening, time_point now) {
@@ -212,6 +213,7 @@
     }
     ServeWaiting(*Service(service), now);
   }
+  BeginUnrouted(now);
 }
 
 void gateway::On(fleet_event& happening, time_point) {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -115,6 +115,9 @@
 
   // gateway_answers.cpp
   void Advance(std::uint64_t id, time_point now);
+  void WaitForConfiguration(exchange& one, time_point now);
+  void BeginUnrouted(time_point now);
+  void Begin(exchange& one, time_point now);
   void StartParts(exchange& one, time_point now);
   bool FinishPlain(exchange& one, time_point now);
   bool FinishGather(exchange& one, time_point now);
@@ -140,6 +143,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> exchanges_;
   std::unordered_map<std::uint64_t, open_request> calls_;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
+  std::vector<std::uint64_t> unrouted_;  ///< Wait for the first configuration.
   std::uint64_t next_call_ = 1;
   std::uint64_t next_arrival_ = 1;
   time_point next_check_{};
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -19,7 +19,11 @@
 
 /** When a client may find what was missing. */
 constexpr duration kRetrySoon = std::chrono::milliseconds(50);
-constexpr duration kRetryConfig = std::chrono::milliseconds(400);
+constexpr duration kRetryConfig = std::chrono::milliseconds(200);
+
+/** Longest wait of a request for the first configuration, and most of them. */
+constexpr duration kStartPatience = std::chrono::milliseconds(400);
+constexpr std::size_t kMostUnrouted = 1000;
 constexpr duration kRetryNoLeaf = std::chrono::milliseconds(300);
 
 std::string Micros(duration value) { return std::to_string(value.count()); }
@@ -67,10 +71,40 @@
   one.arrived = now;
   one.arrival = id;
   exchanges_.emplace(id, std::move(fresh));
-  if (!routes_) {
+  if (!CanServe()) {
+    WaitForConfiguration(one, now);
+    return;
+  }
+  Begin(one, now);
+}
+
+/**
+ * Keeps a request that arrived while this host starts. It knows its routes
+ * within a fraction of a second, earlier than the client would come back.
+ */
+void gateway::WaitForConfiguration(exchange& one, time_point now) {
+  const duration left = one.request->time_left.value_or(kStartPatience);
+  one.deadline = now + std::min(left, kStartPatience);
+  if (unrouted_.size() >= kMostUnrouted) {
     Refuse(one, refusal_cause::no_configuration, kRetryConfig, now);
     return;
   }
+  unrouted_.push_back(static_cast<std::uint64_t>(one.id));
+  Schedule(one, one.deadline);
+}
+
+/** Starts the requests that waited, once their routes are known. */
+void gateway::BeginUnrouted(time_point now) {
+  if (!CanServe()) return;
+  for (const std::uint64_t id : std::exchange(unrouted_, {})) {
+    const auto found = exchanges_.find(id);
+    if (found != exchanges_.end()) Begin(*found->second, now);
+  }
+}
+
+/** Finds the route of a request and asks its leafs. */
+void gateway::Begin(exchange& one, time_point now) {
+  const auto id = static_cast<std::uint64_t>(one.id);
   one.path = routes_->Find(one.request->host, one.request->path);
   if (one.path == nullptr) {
     Refuse(one, refusal_cause::no_route, {}, now);
@@ -81,9 +115,11 @@
   if (!stats) stats = std::make_shared<route_stats>();
   one.stats = stats;
   const duration limit = one.path->timeout;
-  one.deadline = now + std::min(one.request->time_left.value_or(limit), limit);
-  one.goal_at = now + std::max(one.path->goal - settings_.caller_allowance,
-                               one.path->goal / 2);
+  one.deadline =
+      one.arrived + std::min(one.request->time_left.value_or(limit), limit);
+  one.goal_at =
+      one.arrived +
+      std::max(one.path->goal - settings_.caller_allowance, one.path->goal / 2);
   StartParts(one, now);
   Advance(id, now);
 }
@@ -114,6 +150,11 @@
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   exchange& one = *found->second;
+  if (one.path == nullptr) {
+    if (now < one.deadline) return;
+    Refuse(one, refusal_cause::no_configuration, kRetryConfig, now);
+    return;
+  }
   if (now >= one.goal_at) MoveWaitingBack(one);
   for (std::size_t i = 0; i < one.parts.size(); ++i) {
     part& piece = one.parts[i];
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -44,7 +44,9 @@
   bool may_have_run = false;           ///< A leaf may have begun to work on it.
   std::optional<leaf_answer> failure;  ///< Last failure of a leaf, with proof.
 
-  bool Idempotent() const { return path->kind == repeatability::idempotent; }
+  bool Idempotent() const {
+    return path != nullptr && path->kind == repeatability::idempotent;
+  }
 };
 
 /** A request to a leaf that was not answered yet. */
--- /dev/null
+++ b/packages/gateway/news_check.cpp
@@ -0,0 +1,29 @@
+/** @file news_check.cpp Changes that are known elsewhere for too long. */
+
+#include "gateway/news_check.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** A change reaches all hosts within this time: two pauses after earlier
+ *  changes, and two reads. */
+constexpr duration kSpreadTime = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+bool news_check::Overdue(std::uint64_t own, std::uint64_t peers,
+                         time_point now) {
+  if (own >= expected_) expected_ = 0;
+  if (own >= peers) return false;
+  if (expected_ == 0) {
+    expected_ = peers;
+    since_ = now;
+    return false;
+  }
+  if (now < since_ + kSpreadTime) return false;
+  since_ = now;
+  return true;
+}
+
+}  // namespace corianderrail::gateway
--- a/packages/gateway/source_choice.cpp
+++ b/packages/gateway/source_choice.cpp
@@ -32,24 +32,27 @@
   std::erase_if(avoided_,
                 [&](const auto& entry) { return entry.second <= now; });
   const bool store_fails = now < store_avoided_;
+  const std::uint64_t own_weight = RendezvousWeight(kReaderKey, Raw(self_));
   const member_record* best = nullptr;
   std::uint64_t best_weight = 0;
+  std::size_t ahead = 0;
   for (const member_record& member : members) {
-    const bool self = member.ref.host == self_;
-    const bool alive = member.state == member_state::alive;
+    if (member.ref.host == self_ || member.state != member_state::alive) {
+      continue;
+    }
     // While the store does not answer this host, any host may help.
-    const bool near = member.zone == zone || store_fails;
-    if (!near || (!self && !alive)) continue;
-    if (self && store_fails) continue;
+    if (member.zone != zone && !store_fails) continue;
     if (avoided_.contains(member.peer_address)) continue;
     const std::uint64_t weight =
         RendezvousWeight(kReaderKey, Raw(member.ref.host));
+    if (weight > own_weight) ++ahead;
     if (best != nullptr && weight <= best_weight) continue;
     best = &member;
     best_weight = weight;
   }
-  const bool store = best == nullptr || best->ref.host == self_;
-  current_ = store ? std::nullopt : std::optional(best->peer_address);
+  const bool reads_store = !store_fails && ahead < settings_.readers;
+  current_ = best == nullptr || reads_store ? std::nullopt
+                                            : std::optional(best->peer_address);
   return current_;
 }
 
--- a/packages/gateway/source_choice.h
+++ b/packages/gateway/source_choice.h
@@ -15,6 +15,10 @@
 
 /** Timing of the choice. */
 struct source_settings {
+  /** Hosts of a zone that read the store. With one, a store that turns this
+   *  host away unnoticed would keep changes from the whole zone. */
+  std::size_t readers = 2;
+
   /** A source that failed is passed over for this long. */
   duration avoid_failed = std::chrono::milliseconds(2500);
 
@@ -24,8 +28,8 @@
 };
 
 /**
- * One host of each zone reads the store, the others read from it. All rank
- * the hosts of the zone alike; a source that fails or is behind is passed
+ * Few hosts of each zone read the store, the others read from the first. All
+ * rank the hosts of the zone alike; a source that fails or is behind is passed
  * over, so that the next one takes its place without any agreement.
  */
 class source_choice {
--- a/packages/gateway/tests/gateway_plain_test.cpp
+++ b/packages/gateway/tests/gateway_plain_test.cpp
@@ -161,12 +161,43 @@
   CHECK(AnswerOf(id)->status == 500);
 }
 
-// Guards against 404 while the configuration is not known.
+// Guards against 404 while the configuration is not known, and against a
+// request that is held although the configuration does not come.
 TEST_CASE("Request_NoConfiguration_RefusedNotDenied") {
   gateway_fixture host;
   const auto id = host.Request("/read/x");
+  host.Pass(milliseconds(500));
   REQUIRE(host.AnswerOf(id) != nullptr);
   CHECK(host.AnswerOf(id)->status == 503);
+  CHECK(host.AnswerOf(id)->retry_after.has_value());
+}
+
+// Guards against turning clients away in the moment before a restarted host
+// knows its routes: after a power loss all hosts are in that moment.
+TEST_CASE("Request_HostStarts_IsServedOnceRoutesAreKnown") {
+  gateway_fixture host;
+  const auto id = host.Request("/read/x", milliseconds(600));
+  host.Pass(milliseconds(50));
+  host.Configure(gateway_fixture::Config());
+  CHECK(host.TakeSends().empty());
+  host.RegisterAll({"a-1"});
+  const auto sends = host.TakeSends();
+  REQUIRE(sends.size() == 1);
+  CHECK(sends[0].time_left <= milliseconds(550));
+  host.Reply(sends[0], gateway_fixture::Good(sends[0]));
+  REQUIRE(host.AnswerOf(id) != nullptr);
+  CHECK(host.AnswerOf(id)->status == 200);
+}
+
+// Guards against a crash when a client leaves before its route is known.
+TEST_CASE("Request_ClientLeavesWhileHostStarts_IsForgotten") {
+  gateway_fixture host;
+  const auto id = host.Request("/read/x");
+  host.Leave(id);
+  host.Configure(gateway_fixture::Config());
+  host.RegisterAll({"a-1"});
+  CHECK(host.TakeSends().empty());
+  CHECK(host.Core().OpenExchanges() == 0);
 }
 
 // Guards against an older configuration that arrives late.
