Ask no leaf for a query that too few shards could answer

In the seconds after a power loss queries were answered 502 because most shards had no leaf: the registry was half read, and leafs that counted the dead hosts' connections refused new ones. A host now serves only after the whole registry was read, refuses with a true 'not run' when too few shards have a usable leaf, holds half of its share of connections in its first 5 s, and waits 0.1 s for peers before it reads the store.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -62,7 +62,7 @@
 
 /** Time for peers to answer before the store is read: one of them may already
  *  hold what it serves. */
-constexpr std::chrono::milliseconds kJoinTime{400};
+constexpr std::chrono::milliseconds kJoinTime{100};
 
 /** Most addresses that a client reads from an answer. */
 constexpr std::size_t kMostEntries = 64;
@@ -399,6 +399,7 @@
     }
     happening.changes.push_back(std::move(change));
   }
+  happening.complete = leaf_store.Listed();
   if (!happening.changes.empty()) Reduce(std::move(happening));
   CheckReady();
 }
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -40,6 +40,7 @@
 gateway::~gateway() = default;
 
 void gateway::Reduce(event happening, time_point now, effect_list& effects) {
+  if (started_ == time_point{}) started_ = now;
   effects_ = &effects;
   std::visit([&](auto& one) { On(one, now); }, happening);
   effects_ = nullptr;
@@ -55,7 +56,7 @@
 }
 
 bool gateway::CanServe() const {
-  return routes_ != nullptr && directory_.Size() > 0;
+  return routes_ != nullptr && registry_complete_ && directory_.Size() > 0;
 }
 
 const client_limits& gateway::Limits() const {
@@ -190,6 +191,7 @@
 
 void gateway::On(registry_event& happening, time_point now) {
   std::set<std::string> touched;
+  registry_complete_ = registry_complete_ || happening.complete;
   for (const registry_change& change : happening.changes) {
     for (const leaf_handle ended : directory_.Apply(change, now)) {
       effects_->push_back(forget_leaf_effect{ended});
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -50,7 +50,7 @@
   /** Version in force; 0 while none is known. */
   config_version Version() const;
 
-  /** True once a configuration and a leaf are known. */
+  /** True once a configuration and all leafs are known. */
   bool CanServe() const;
 
   /** Client bounds in force. */
@@ -118,7 +118,8 @@
   void WaitForConfiguration(exchange& one, time_point now);
   void BeginUnrouted(time_point now);
   void Begin(exchange& one, time_point now);
-  void StartParts(exchange& one, time_point now);
+  bool StartParts(exchange& one, time_point now);
+  bool EnoughLeafs(const exchange& one, time_point now) const;
   bool FinishPlain(exchange& one, time_point now);
   bool FinishGather(exchange& one, time_point now);
   void TakeAnswer(exchange& one, std::size_t index, open_request& call,
@@ -137,6 +138,8 @@
   fleet_size far_fleet_;
   double slack_share_ = 0;
   bool is_entry_ = true;
+  bool registry_complete_ = false;
+  time_point started_{};  ///< First event.
   std::set<std::string, std::less<>> named_services_;
   std::unordered_map<std::string, std::shared_ptr<service_state>> services_;
   std::unordered_map<std::string, std::shared_ptr<route_stats>> stats_;
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -120,11 +120,30 @@
   one.goal_at =
       one.arrived +
       std::max(one.path->goal - settings_.caller_allowance, one.path->goal / 2);
-  StartParts(one, now);
-  Advance(id, now);
+  if (StartParts(one, now)) Advance(id, now);
 }
 
-void gateway::StartParts(exchange& one, time_point now) {
+/** True when enough shards have a leaf that may be asked. */
+bool gateway::EnoughLeafs(const exchange& one, time_point now) const {
+  gather_progress hoped;
+  hoped.shards = static_cast<std::uint32_t>(one.parts.size());
+  hoped.min_ratio = one.path->Gathers() ? one.path->min_shard_ratio : 1.0;
+  for (const part& piece : one.parts) {
+    const auto leafs = directory_.Of(piece.service->name);
+    const bool usable =
+        std::any_of(leafs.begin(), leafs.end(), [&](const leaf_state* leaf) {
+          return directory_.Standing(*leaf, now) != leaf_standing::unusable;
+        });
+    if (usable) ++hoped.answered;
+  }
+  return IsUseful(hoped);
+}
+
+/**
+ * Asks a leaf for each part.
+ * @return False when the request was refused: leafs would work for nothing.
+ */
+bool gateway::StartParts(exchange& one, time_point now) {
   if (one.path->Gathers()) {
     one.parts.resize(one.path->shards.size());
     for (std::size_t i = 0; i < one.parts.size(); ++i) {
@@ -136,9 +155,14 @@
     const std::size_t turn = one.stats->turn.Next(targets);
     one.parts[0].service = Service(targets[turn].service);
   }
+  if (!EnoughLeafs(one, now)) {
+    RefuseFailed(one, refusal_cause::no_leaf, now);
+    return false;
+  }
   for (std::size_t i = 0; i < one.parts.size(); ++i) Place(one, i, now);
   Schedule(one, one.goal_at);
   Schedule(one, one.deadline);
+  return true;
 }
 
 void gateway::Schedule(exchange& one, time_point at) {
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -20,6 +20,9 @@
 /** Least time in which a leaf can answer; less is not worth sending. */
 constexpr duration kLeastWork = std::chrono::milliseconds(2);
 
+/** A leaf that missed the end of a host closes its connections by then. */
+constexpr duration kYoungTime = std::chrono::seconds(5);
+
 /** Waiting parts that are looked at when room becomes free. */
 constexpr std::size_t kMostLooks = 8;
 
@@ -30,8 +33,10 @@
   const std::uint32_t most =
       service == services_.end() ? 0 : service->second->max_connections;
   const bool near = settings_.here.SameRegion(leaf.record.zone);
-  const std::uint32_t share =
+  std::uint32_t share =
       ConnectionShare(most, near ? near_fleet_ : far_fleet_, near);
+  // The leaf may still count the connections of the process before this one.
+  if (now < started_ + kYoungTime) share = (share + 1) / 2;
   const double shed = leaf.evidence.ShedLimit(now);
   return shed < share ? static_cast<std::uint32_t>(shed) : share;
 }
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -53,6 +53,7 @@
 /** Changes of the registry, in order. */
 struct registry_event {
   std::vector<registry_change> changes;  ///< In order of revision.
+  bool complete = true;                  ///< With these, all leafs are known.
 };
 
 /** The number of hosts changed. */
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -89,10 +89,12 @@
   }
 
   void Register(const leaf_record& leaf) {
-    Reduce(registry_event{{{leaf.instance, ++revision_, leaf, false}}});
+    Reduce(
+        registry_event{{{leaf.instance, ++revision_, leaf, false}}, complete});
   }
   void Remove(const std::string& instance) {
-    Reduce(registry_event{{{instance, ++revision_, std::nullopt, false}}});
+    Reduce(registry_event{{{instance, ++revision_, std::nullopt, false}},
+                          complete});
   }
 
   /** Sends a request of a client; its identifier is the exchange's number. */
@@ -176,6 +178,7 @@
     }
   }
 
+  bool complete = true;  ///< Whether the registry was read to its end.
   bool refuse_connections = false;  ///< Whether probes of leafs fail.
 
  private:
--- a/packages/gateway/tests/gateway_query_test.cpp
+++ b/packages/gateway/tests/gateway_query_test.cpp
@@ -142,13 +142,34 @@
   CHECK(TakeSends().size() == 2);
 }
 
-// Guards against holding a query whose shards are all known to be gone.
-TEST_CASE_METHOD(query_fixture, "Query_NoLeafOfEnoughShards_RefusedAtOnce") {
+// Guards against work of leafs for a query that cannot be answered, and
+// against calling it "may have run".
+TEST_CASE_METHOD(query_fixture, "Query_TooFewShardsHaveLeafs_AsksNone") {
   Configure(Config(2, 9));
   const auto id = Request("/query/x");
+  CHECK(TakeSends().empty());
   const auto* answer = AnswerOf(id);
   REQUIRE(answer != nullptr);
-  CHECK(answer->retry_after.has_value() == (answer->status == 503));
+  CHECK(answer->status == 503);
+  CHECK(answer->retry_after.has_value());
+}
+
+// Guards against answering from a half-read registry, in which most shards
+// have no leaf yet.
+TEST_CASE("Query_RegistryHalfRead_WaitsForTheRest") {
+  gateway_fixture host;
+  host.Configure(gateway_fixture::Config());
+  host.complete = false;
+  host.Register(gateway_fixture::Leaf("s0", "a-1"));
+  const auto id = host.Request("/query/x");
+  CHECK(host.AnswerOf(id) == nullptr);
+  CHECK(host.TakeSends().empty());
+  for (const char* service : {"s1", "s2"}) {
+    host.Register(gateway_fixture::Leaf(service, "a-1"));
+  }
+  host.complete = true;
+  host.Register(gateway_fixture::Leaf("s3", "a-1"));
+  CHECK(host.TakeSends().size() == 4);
 }
 
 }  // namespace corianderrail::gateway
