--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -22,6 +22,7 @@
 
 /** A leaf that missed the end of a host closes its connections by then. */
 constexpr duration kYoungTime = std::chrono::seconds(5);
+constexpr std::uint32_t kYoungDivisor = 4;
 
 /** Waiting parts that are looked at when room becomes free. */
 constexpr std::size_t kMostLooks = 8;
@@ -36,7 +37,9 @@
   std::uint32_t share =
       ConnectionShare(most, near ? near_fleet_ : far_fleet_, near);
   // The leaf may still count the connections of the process before this one.
-  if (now < started_ + kYoungTime) share = (share + 1) / 2;
+  if (now < started_ + kYoungTime) {
+    share = std::max(share / kYoungDivisor, 1u);
+  }
   const double shed = leaf.evidence.ShedLimit(now);
   return shed < share ? static_cast<std::uint32_t>(shed) : share;
 }
