--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -24,6 +24,7 @@
         {"answer_partial", 20, 100},
         {"answer_late", 20, 100},
         {"request_repeated", 5, 20},
+        {"repeat_denied", 5, 20},
         {"leaf_suspected", 10, 50},
         {"leaf_restored", 10, 50},
         {"leaf_listed", 10, 200},
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -112,6 +112,10 @@
   void MoveWaitingBack(exchange& one);
   std::uint32_t Limit(const leaf_state& leaf, time_point now) const;
   void CancelCalls(exchange& one);
+  bool TakeRepeat(const exchange& one, part& piece, repeat_reason reason,
+                  time_point now);
+  void LogRepeat(const exchange& one, const part& piece, repeat_reason reason,
+                 time_point now);
 
   // gateway_answers.cpp
   void Advance(std::uint64_t id, time_point now);
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -228,12 +228,11 @@
   piece.state = part::phase::failed;
   if (!repeatable || piece.asked.size() >= one.path->attempts) return;
   const bool extra = !piece.asked.empty();
-  if (extra && !piece.service->budget.Take(repeat_reason::failure, now)) {
-    ++counters_.repeats_denied;
-    return;
-  }
-  if (extra) ++counters_.retries;
+  if (extra && !TakeRepeat(one, piece, repeat_reason::failure, now)) return;
   Place(one, index, now);
+  if (!extra) return;
+  ++counters_.retries;
+  LogRepeat(one, piece, repeat_reason::failure, now);
 }
 
 bool gateway::FinishPlain(exchange& one, time_point now) {
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -7,6 +7,8 @@
  */
 
 #include <algorithm>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "gateway/gateway.h"
@@ -24,6 +26,10 @@
 constexpr duration kYoungTime = std::chrono::seconds(5);
 constexpr std::uint32_t kYoungDivisor = 4;
 
+std::string_view ReasonName(repeat_reason reason) {
+  return reason == repeat_reason::hedge ? "late" : "failed";
+}
+
 /** Waiting parts that are looked at when room becomes free. */
 constexpr std::size_t kMostLooks = 8;
 
@@ -155,12 +161,49 @@
   if (now + PredictLatency(candidates_[choice.index]) > one.deadline) return;
   // A doubtful leaf is unlikely to help; what is left of the budget may.
   if (candidates_[choice.index].standing != leaf_standing::sound) return;
-  if (!piece.service->budget.Take(repeat_reason::hedge, now)) {
-    ++counters_.repeats_denied;
-    return;
-  }
+  if (!TakeRepeat(one, piece, repeat_reason::hedge, now)) return;
   ++counters_.hedges;
   Send(one, index, choice.index, now);
+  LogRepeat(one, piece, repeat_reason::hedge, now);
+}
+
+/** Takes a repeat from the budget of the service, and logs a refusal. */
+bool gateway::TakeRepeat(const exchange& one, part& piece, repeat_reason reason,
+                         time_point now) {
+  if (piece.service->budget.Take(reason, now)) return true;
+  ++counters_.repeats_denied;
+  effects_->push_back(log_effect{
+      decision::repeat_denied,
+      one.request->attempt,
+      {{"service", piece.service->name},
+       {"reason", std::string(ReasonName(reason))},
+       {"elapsed_us", std::to_string((now - one.arrived).count())}}});
+  return false;
+}
+
+/** Logs the leafs that were asked for a part, the newest last. */
+void gateway::LogRepeat(const exchange& one, const part& piece,
+                        repeat_reason reason, time_point now) {
+  std::string asked;
+  std::string evidence;
+  for (const leaf_handle handle : piece.asked) {
+    const leaf_state* leaf = directory_.Find(handle);
+    if (leaf == nullptr) continue;
+    if (!asked.empty()) asked += ',';
+    asked += leaf->record.instance;
+    if (!evidence.empty()) evidence += ',';
+    evidence += std::to_string(leaf->evidence.Open());
+  }
+  effects_->push_back(log_effect{
+      decision::repeated,
+      one.request->attempt,
+      {{"service", piece.service->name},
+       {"reason", std::string(ReasonName(reason))},
+       {"leafs", asked},
+       {"open", evidence},
+       {"elapsed_us", std::to_string((now - one.arrived).count())},
+       {"version",
+        std::to_string(static_cast<std::uint64_t>(one.config->version))}}});
 }
 
 /**
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -113,13 +113,14 @@
   partial,          ///< A gathered answer lacks parts.
   late,             ///< An answer after the objective.
   repeated,         ///< A request went to a second leaf.
+  repeat_denied,    ///< It did not, because the budget was spent.
   leaf_suspected,   ///< A leaf gets no work for a while.
   leaf_restored,    ///< A leaf gets work again.
   leaf_listed,      ///< The registry added or changed a leaf.
   leaf_delisted,    ///< The registry removed a leaf, or it is leaving.
   config_in_force,  ///< A newer configuration is in force.
 };
-inline constexpr std::size_t kDecisions = 9;
+inline constexpr std::size_t kDecisions = 10;
 
 /** One input of a decision. */
 struct decision_input {
