--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -6,8 +6,10 @@
 #include <chrono>
 #include <fstream>
 #include <sstream>
+#include <string>
 
 #include "contract/toml_reader.h"
+#include "wire/peer_codec.h"
 
 namespace corianderrail::edge {
 
@@ -87,6 +89,11 @@
       "lookup_ttl_s", 1, kMostTtlS, presence::optional, into.lookup_ttl_s));
   ReadSeeds(from, into, faults);
   ReadRegions(from, into, faults);
+  if (into.shared_key.size() < kSharedKeyMin && from.Has("shared_key")) {
+    from.Fail(contract_fault::out_of_range, "shared_key",
+              "'shared_key' is shorter than " + std::to_string(kSharedKeyMin) +
+                  " bytes; choose a longer one");
+  }
   from.Finish();
   return into;
 }
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,401 @@
+#!/usr/bin/env python3
+"""Randomized soak of `corianderrail edge` as separate processes.
+
+Runs hosts against stand-ins on loopback, injects faults from a seed, and checks
+what clients and leafs see. Ends only the processes that it started.
+
+    tests/soak/soak.py BINARY --seed 7 --seconds 20
+"""
+
+import argparse
+import asyncio
+import collections
+import os
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import standins  # noqa: E402
+
+ZONES = ["a-1", "b-1"]
+REGIONS = {"a-1": "a", "b-1": "b"}
+SHARDS = 4
+QUERY_MS = 800
+TOP = 5
+SETTLE_SECONDS = 6
+SERVED_AFTER_FAULTS = 0.95
+
+
+class Host:
+    """One process of the program."""
+
+    def __init__(self, soak, number):
+        self.soak = soak
+        self.number = number
+        self.zone = ZONES[number % len(ZONES)]
+        self.base = soak.base_port + 10 * number
+        self.process = None
+        self.stopping = False
+        self.proxy = standins.Proxy(soak.store.port)
+
+    def address(self, offset):
+        return f"127.0.0.1:{self.base + offset}"
+
+    def write_settings(self):
+        path = os.path.join(self.soak.work, f"host{self.number}.toml")
+        seeds = [f"127.0.0.1:{self.soak.base_port + 10 * i + 3}" for i in range(2)]
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(
+                f'host = "h{self.number}"\nzone = "{self.zone}"\n'
+                f'region = "{REGIONS[self.zone]}"\n'
+                f'client_address = "{self.address(0)}"\n'
+                f'ready_address = "{self.address(1)}"\n'
+                f'lookup_address = "{self.address(2)}"\n'
+                f'peer_address = "{self.address(3)}"\n'
+                f'metrics_address = "{self.address(4)}"\n'
+                f'store_address = "127.0.0.1:{self.proxy.port}"\n'
+                f"seeds = {seeds}\n".replace("'", '"') +
+                'shared_key = "soak-of-the-edge-hosts"\n'
+                "repeat_slack = 50\nstop_grace_s = 6\n[regions]\n" +
+                "".join(f'"{z}" = "{r}"\n' for z, r in REGIONS.items()))
+        return path
+
+    async def start(self):
+        self.stopping = False
+        log = open(os.path.join(self.soak.work, f"host{self.number}.log"), "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.soak.binary, "edge", "--settings", self.write_settings(),
+            stdout=log, stderr=log)
+        log.close()
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class Soak:
+    """The hosts, the stand-ins, the load and what was seen."""
+
+    def __init__(self, binary, seed, seconds, hosts):
+        self.binary = binary
+        self.rng = standins.new_random(seed)
+        self.seconds = seconds
+        self.work = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+        self.base_port = 10000 + seed % 90 * 100  # Below the ephemeral ports.
+        self.runs = []
+        self.refused_orders = set()
+        self.orders = set()
+        self.failures = []
+        self.counts = collections.Counter()
+        self.window = collections.Counter()
+        self.version = 0
+        self.leafs = []
+        self.leaf_count = 0
+        self.host_count = hosts
+        self.sequence = 0
+        self.stop_load = False
+
+    def fail(self, text):
+        if len(self.failures) < 20:
+            self.failures.append(f"{time.monotonic() - self.began:.2f} s: {text}")
+
+    # Set-up.
+
+    async def start(self):
+        self.began = time.monotonic()
+        self.store = standins.Store()
+        await self.store.start()
+        for i in range(SHARDS):
+            for zone in ZONES + ["a-1"]:
+                await self.add_leaf(f"s{i}", zone)
+        for zone in ZONES:
+            await self.add_leaf("plain", zone)
+        await self.publish()
+        self.hosts = [Host(self, i) for i in range(self.host_count)]
+        for host in self.hosts:
+            await host.proxy.start()
+            await host.start()
+        await asyncio.sleep(2)
+
+    async def add_leaf(self, service, zone):
+        self.leaf_count += 1
+        leaf = standins.Leaf(service, self.leaf_count, zone, self.runs, self.rng)
+        await leaf.start()
+        self.leafs.append(leaf)
+        await self.store.put(f"servers/{leaf.instance}", leaf.entry())
+        return leaf
+
+    async def publish(self):
+        self.version += self.rng.randrange(1, 4)
+        shards = [f"s{i}" for i in range(SHARDS)]
+        common = {"Host": "h.example", "TimeoutMs": QUERY_MS, "GoalMs": 200,
+                  "Attempts": 2}
+        routes = [
+            {**common, "Name": "query", "Prefix": "/query/", "Type": "idempotent",
+             "Priority": 0, "Gather": shards, "TopK": TOP, "MinShardRatio": 0.5},
+            {**common, "Name": "read", "Prefix": "/read/", "Type": "idempotent",
+             "Priority": 1, "Service": "plain"},
+            {**common, "Name": "order", "Prefix": "/order/", "Priority": 2,
+             "Type": "non_idempotent", "Service": "plain"}]
+        await self.store.put("op/config", {
+            "Version": self.version, "Routes": routes,
+            "Services": [{"Name": s, "MaxConns": 40} for s in shards + ["plain"]],
+            "Limits": {"HeaderBytes": 16384, "BodyBytes": 262144,
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
+
+    # Load.
+
+    async def client(self):
+        while not self.stop_load:
+            await asyncio.sleep(self.rng.uniform(0.005, 0.03))
+            kind = self.rng.choice(["query", "query", "read", "order"])
+            await self.request(kind)
+
+    async def request(self, kind):
+        host = self.rng.choice(self.hosts)
+        self.sequence += 1
+        attempt = f"r{self.sequence}"
+        if kind == "order":
+            self.orders.add(attempt)
+        body = b"payload" if kind == "order" else b""
+        method = "POST" if kind == "order" else "GET"
+        text = (f"{method} /{kind}/{attempt} HTTP/1.1\r\nHost: h.example\r\n"
+                f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {QUERY_MS}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        began = time.monotonic()
+        status = await self.exchange(host, kind, attempt, text)
+        elapsed = time.monotonic() - began
+        if status and elapsed > QUERY_MS / 1000 + 1.0 and not host.stopping:
+            self.counts["slow"] += 1
+        self.counts[f"{kind} {status}"] += 1
+        self.window["all"] += 1
+        self.window["served"] += status == 200
+
+    async def exchange(self, host, kind, attempt, text):
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection("127.0.0.1", host.base), 1)
+            writer.write(text)
+            head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"),
+                                           3)).decode("latin-1")
+            lines = head.split("\r\n")
+            headers = dict(line.lower().split(": ", 1) for line in lines[1:]
+                           if ": " in line)
+            body = await asyncio.wait_for(
+                reader.readexactly(int(headers["content-length"])), 3)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return 0
+        finally:
+            if writer:
+                writer.close()
+        status = int(lines[0].split(" ")[1])
+        self.check(kind, attempt, status, headers, body)
+        return status
+
+    def check(self, kind, attempt, status, headers, body):
+        if status in (408, 421, 429, 503) and kind == "order":
+            self.refused_orders.add(attempt)
+        if status == 404:
+            self.fail(f"{attempt}: 404 for a route of every configuration")
+        if status != 200:
+            return
+        if kind != "query":
+            if body.decode() != f"plain:{attempt}:/{kind}/{attempt}":
+                self.fail(f"{attempt}: body of another request: {body[:60]}")
+            return
+        proofs = [p.strip() for p in headers.get("x-part-stamps", "").split(",")]
+        missing = int(headers.get("x-missing-parts", 0))
+        services = {p.split(".")[0] for p in proofs}
+        if len(services) != len(proofs) or len(proofs) + missing != SHARDS:
+            self.fail(f"{attempt}: {len(proofs)} parts of {len(services)} "
+                      f"services, {missing} missing")
+        if any(p.split(".")[1] != attempt for p in proofs):
+            self.fail(f"{attempt}: part of another request")
+        if len(proofs) * 2 < SHARDS:
+            self.fail(f"{attempt}: success with {len(proofs)} parts")
+        records = sorted((r for s in services
+                          for r in standins.records_of(s, attempt)),
+                         reverse=True)
+        if body != b"".join(records[:TOP]):
+            self.fail(f"{attempt}: not the greatest records of its parts")
+
+    # Faults.
+
+    async def faults(self):
+        end = time.monotonic() + self.seconds
+        running = []
+        while time.monotonic() < end:
+            running.append(asyncio.create_task(self.one_fault()))
+            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+        await asyncio.gather(*running)
+
+    async def one_fault(self):
+        fault = self.rng.choice([
+            self.kill_host, self.stop_host, self.pause_host, self.break_store,
+            self.break_store_path, self.break_leaf, self.break_leaf,
+            self.drain_leaf, self.crash_leaf, self.reset_store, self.publish,
+            self.compact_store])
+        self.counts["faults"] += 1
+        await fault()
+
+    async def kill_host(self):
+        host = self.rng.choice(self.hosts)
+        if host.process is None or host.stopping:
+            return
+        host.stopping = True
+        host.signal(signal.SIGKILL)
+        await host.process.wait()
+        await asyncio.sleep(self.rng.uniform(0.1, 1))
+        await host.start()
+
+    async def stop_host(self):
+        host = self.rng.choice(self.hosts)
+        if host.stopping:
+            return
+        host.stopping = True
+        host.signal(signal.SIGTERM)
+        try:
+            code = await asyncio.wait_for(host.process.wait(), 8)
+        except asyncio.TimeoutError:
+            self.fail(f"host {host.number} still runs 8 s after SIGTERM")
+            host.signal(signal.SIGKILL)
+            code = await host.process.wait()
+        if code not in (0, -signal.SIGKILL):
+            self.fail(f"host {host.number} ended with {code} after SIGTERM")
+        await host.start()
+
+    async def pause_host(self):
+        host = self.rng.choice(self.hosts)
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 3))
+        host.signal(signal.SIGCONT)
+
+    async def break_store(self):
+        self.store.mode = self.rng.choice(["silent", "busy"])
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
+        self.store.mode = "good"
+        self.store.reset_connections()
+
+    async def break_store_path(self):
+        proxy = self.rng.choice(self.hosts).proxy
+        proxy.mode = self.rng.choice(["slow", "silent", "to_target_only", "refuse"])
+        proxy.delay_s = self.rng.uniform(0.05, 0.6)
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
+        proxy.mode = "good"
+        proxy.reset_connections()
+
+    async def break_leaf(self):
+        leaf = self.rng.choice(self.leafs)
+        leaf.mode = self.rng.choice(["shed", "reset", "silent", "extra", "cut",
+                                     "error"])
+        leaf.share = self.rng.uniform(0.2, 1)
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
+        leaf.mode = "good"
+
+    def spare(self, leaf):
+        return sum(other.service == leaf.service for other in self.leafs) > 1
+
+    async def drain_leaf(self):
+        leaf = self.rng.choice(self.leafs)
+        if not self.spare(leaf):
+            return
+        self.leafs.remove(leaf)
+        await self.add_leaf(leaf.service, leaf.zone)
+        await self.store.put(f"servers/{leaf.instance}", leaf.entry("draining"))
+        await asyncio.sleep(4)
+        await self.store.remove(f"servers/{leaf.instance}")
+        leaf.close()
+
+    async def crash_leaf(self):
+        leaf = self.rng.choice(self.leafs)
+        if not self.spare(leaf):
+            return
+        self.leafs.remove(leaf)
+        leaf.close()
+        await asyncio.sleep(self.rng.uniform(0.5, 2))
+        await self.store.remove(f"servers/{leaf.instance}")
+        await self.add_leaf(leaf.service, leaf.zone)
+
+    async def reset_store(self):
+        self.store.reset_connections()
+
+    async def compact_store(self):
+        self.store.compact()
+        self.store.reset_connections()
+
+    # Checks at the end.
+
+    async def run(self):
+        await self.start()
+        clients = [asyncio.create_task(self.client()) for _ in range(12)]
+        await self.faults()
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.window.clear()
+        await asyncio.sleep(3)
+        self.stop_load = True
+        await asyncio.gather(*clients)
+        served = self.window["served"] / max(self.window["all"], 1)
+        if served < SERVED_AFTER_FAULTS:
+            self.fail(f"only {served:.3f} served after the faults ended")
+        self.check_runs()
+        await self.stop_all()
+        return served
+
+    def check_runs(self):
+        orders = collections.Counter(a for a, _, m in self.runs if m == "POST")
+        for attempt, times in orders.items():
+            if times > 1:
+                self.fail(f"order {attempt} ran {times} times")
+            if attempt in self.refused_orders:
+                self.fail(f"order {attempt} ran, and was refused as not run")
+            if attempt not in self.orders:
+                self.fail(f"order {attempt} ran, and nobody sent it")
+
+    async def stop_all(self):
+        for host in self.hosts:
+            host.signal(signal.SIGCONT)
+            host.signal(signal.SIGTERM)
+        for host in self.hosts:
+            try:
+                await asyncio.wait_for(host.process.wait(), 8)
+            except asyncio.TimeoutError:
+                self.fail(f"host {host.number} did not stop")
+                host.signal(signal.SIGKILL)
+        for server in self.leafs + [self.store] + [h.proxy for h in self.hosts]:
+            server.close()
+
+    def kill_processes(self):
+        for host in getattr(self, "hosts", []):
+            host.signal(signal.SIGKILL)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("binary")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--hosts", type=int, default=4)
+    options = parser.parse_args()
+    soak = Soak(options.binary, options.seed, options.seconds, options.hosts)
+    try:
+        served = asyncio.run(soak.run())
+    finally:
+        soak.kill_processes()
+    print(f"seed {options.seed}: {soak.sequence} requests, "
+          f"{soak.counts['faults']} faults, {served:.3f} served at the end, "
+          f"{soak.store.calls} store calls")
+    print("  " + ", ".join(f"{k}: {v}" for k, v in sorted(soak.counts.items())))
+    if soak.failures:
+        print("\n".join(soak.failures))
+        print(f"logs kept in {soak.work}")
+        return 1
+    shutil.rmtree(soak.work)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,266 @@
+"""Stand-ins of the platform for the soak: store, leafs and a faulty proxy.
+
+They speak the published protocol as far as the soak needs it and misbehave on
+request. All run in one asyncio loop on loopback addresses.
+"""
+
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import urllib.parse
+
+RECORD_BYTES = 16
+
+
+def records_of(service, attempt):
+    """The records that a service holds for a request; the same on all leafs."""
+    seed = hashlib.sha256(f"{service}/{attempt}".encode()).digest()
+    return [hashlib.sha256(seed + bytes([i])).digest()[:RECORD_BYTES]
+            for i in range(4)]
+
+
+async def read_request(reader):
+    """Returns method, target, headers and body; None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+def answer(status, headers=(), body=b""):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Server:
+    """A TCP server whose open connections can be closed."""
+
+    def __init__(self):
+        self.server = None
+        self.port = None
+        self.writers = set()
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _accept(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def reset_connections(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def close(self):
+        if self.server:
+            self.server.close()
+        self.reset_connections()
+
+
+class Store(Server):
+    """The metadata store: items with revisions, listing and watch."""
+
+    def __init__(self):
+        super().__init__()
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.compacted = 0
+        self.changed = asyncio.Condition()
+        self.mode = "good"  # good, silent, busy
+        self.calls = 0
+
+    async def put(self, key, value):
+        async with self.changed:
+            self.revision += 1
+            item = {"Key": key, "Rev": self.revision, "Created": self.revision,
+                    "Lease": 0,
+                    "Value": base64.b64encode(json.dumps(value).encode()).decode()}
+            self.items[key] = item
+            self.events.append(item)
+            self.changed.notify_all()
+
+    async def remove(self, key):
+        async with self.changed:
+            if self.items.pop(key, None) is None:
+                return
+            self.revision += 1
+            self.events.append({"Key": key, "Rev": self.revision, "Removed": True})
+            self.changed.notify_all()
+
+    def compact(self):
+        self.compacted = self.revision
+        self.events = []
+
+    async def serve(self, reader, writer):
+        while True:
+            request = await read_request(reader)
+            if request is None:
+                return
+            self.calls += 1
+            if self.mode == "silent":
+                await asyncio.sleep(3600)
+            if self.mode == "busy":
+                writer.write(answer(503))
+                continue
+            url = urllib.parse.urlsplit(request[1])
+            query = dict(urllib.parse.parse_qsl(url.query))
+            if url.path.endswith("kv-range"):
+                writer.write(self.listing(query))
+            else:
+                writer.write(await self.watch(query))
+            await writer.drain()
+
+    def listing(self, query):
+        prefix, after = query["Prefix"], query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page = [self.items[k] for k in keys[:10]]
+        return answer(200, body=json.dumps(
+            {"items": page, "HasMore": len(keys) > 10,
+             "StoreRevision": self.revision}).encode())
+
+    async def watch(self, query):
+        prefix, after = query["Prefix"], int(query["after"])
+
+        def found():
+            return [e for e in self.events
+                    if e["Rev"] > after and e["Key"].startswith(prefix)]
+
+        if after < self.compacted:
+            return answer(410)
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(found),
+                                       int(query["WaitMs"]) / 1000)
+            except asyncio.TimeoutError:
+                pass
+        return answer(200, body=json.dumps(
+            {"events": found(), "StoreRevision": self.revision}).encode())
+
+
+class Leaf(Server):
+    """One leaf of a service; `runs` is shared by all leafs."""
+
+    def __init__(self, service, number, zone, runs, rng):
+        super().__init__()
+        self.service = service
+        self.instance = f"i-{service}-{number}"
+        self.zone = zone
+        self.runs = runs
+        self.rng = rng
+        self.work_s = 0.004
+        self.mode = "good"  # good, shed, reset, silent, extra, cut, error
+        self.share = 0.5
+
+    def entry(self, state="ready"):
+        return {"Service": self.service, "Addr": f"127.0.0.1:{self.port}",
+                "Zone": self.zone, "Version": "v1", "Slots": 2, "State": state,
+                "ColdLeftMs": 0, "Seq": 1}
+
+    async def serve(self, reader, writer):
+        while True:
+            request = await read_request(reader)
+            if request is None:
+                return
+            if not await self.reply(request, writer):
+                return
+
+    async def reply(self, request, writer):
+        method, target, headers, _ = request
+        attempt = headers.get("x-attempt-id", "")
+        if headers.get("x-target-instance") != self.instance:
+            writer.write(answer(421, [("X-Instance", self.instance)]))
+            return True
+        bad = self.mode != "good" and self.rng.random() < self.share
+        if bad and self.mode == "shed":
+            writer.write(answer(503, [("X-Not-Run", "1")]))
+            return True
+        self.runs.append((attempt, self.service, method))
+        await asyncio.sleep(self.work_s * self.rng.uniform(0.5, 2))
+        if bad and self.mode == "silent":
+            await asyncio.sleep(3600)
+        if bad and self.mode == "reset":
+            writer.transport.abort()
+            return False
+        proof = f"{self.service}.{attempt}.{self.rng.randrange(10 ** 9)}"
+        body = b"".join(self.rng.sample(records_of(self.service, attempt), 4))
+        if not target.startswith("/query/"):
+            body = f"{self.service}:{attempt}:{target}".encode()
+        status = 500 if bad and self.mode == "error" else 200
+        whole = answer(status, [("X-Attempt-Id", attempt),
+                                ("X-Server-Stamp", proof)], body)
+        if bad and self.mode == "cut":
+            writer.write(whole[:-3])
+            return False
+        writer.write(whole)
+        if bad and self.mode == "extra":
+            await asyncio.sleep(0.01)
+            writer.write(whole)
+        await writer.drain()
+        return True
+
+
+class Proxy(Server):
+    """Passes bytes to a target; may delay, silence or refuse them."""
+
+    def __init__(self, target_port):
+        super().__init__()
+        self.target_port = target_port
+        self.mode = "good"  # good, slow, silent, to_target_only, refuse
+        self.delay_s = 0.0
+
+    async def serve(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target_port)
+        except ConnectionError:
+            writer.transport.abort()
+            return
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, True),
+                                 self.pump(far_reader, writer, False))
+        finally:
+            far_writer.close()
+
+    async def pump(self, reader, writer, to_target):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "slow":
+                    await asyncio.sleep(self.delay_s)
+                silent = self.mode == "silent" or (
+                    self.mode == "to_target_only" and not to_target)
+                if silent:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
+def new_random(seed):
+    return random.Random(seed)
