Explain a request from the logs of several hosts

corianderctl explain ID FILE... prints the decisions on a request in order of time, with what its hosts came to believe in the ten seconds before. Refused, partial and late answers now name each missing service and the progress of its part.

--- a/packages/ctl/command_line.cpp
+++ b/packages/ctl/command_line.cpp
@@ -13,6 +13,7 @@
 #include <ostream>
 
 #include "ctl/document_commands.h"
+#include "ctl/explain_command.h"
 #include "ctl/host_commands.h"
 
 namespace corianderrail {
@@ -23,7 +24,7 @@
 constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
 constexpr std::int64_t kMaxTimeoutMs = 600'000;
 
-constexpr std::array<command, 8> kCommands = {{
+constexpr std::array<command, 9> kCommands = {{
     {"check", "PATH...", "check documents or trees of documents", 1, kNoLimit,
      RunCheck},
     {"diff", "OLD NEW", "compare the sets that the heads of two trees name", 2,
@@ -36,6 +37,8 @@
     {"query", "HOST", "send a query", 1, 1, RunQuery},
     {"order", "HOST", "get an order identifier and send an order", 1, 1,
      RunOrder},
+    {"explain", "ID FILE...", "show the history of a request from edge logs", 2,
+     kNoLimit, RunExplain},
 }};
 
 struct popt_deleter {
--- /dev/null
+++ b/packages/ctl/explain_command.cpp
@@ -0,0 +1,134 @@
+/** @file explain_command.cpp History of one request over several logs. */
+
+#include "ctl/explain_command.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace corianderrail {
+
+namespace {
+
+using nlohmann::json;
+
+/** Changes of belief this long before the first decision are shown. Evidence
+ *  about leafs fades within about ten seconds. */
+constexpr std::uint64_t kBeforeUs = 10'000'000;
+
+constexpr std::string_view kStandardInput = "-";
+
+std::string TextOf(const json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+bool ReadLine(const std::string& text, log_line& into) {
+  const std::size_t brace = text.find('{');
+  if (brace == std::string::npos) return false;
+  const json object =
+      json::parse(text.substr(brace), nullptr, /*allow_exceptions=*/false);
+  if (!object.is_object() || !object.contains("event")) return false;
+  for (const auto& [name, value] : object.items()) {
+    if (name == "unix_us") {
+      if (value.is_number_unsigned()) into.unix_us = value;
+    } else if (name == "host") {
+      into.host = TextOf(value);
+    } else if (name == "event") {
+      into.event = TextOf(value);
+    } else if (name == "id") {
+      into.id = TextOf(value);
+    } else {
+      if (!into.inputs.empty()) into.inputs += ' ';
+      into.inputs += name + '=' + TextOf(value);
+    }
+  }
+  return true;
+}
+
+/** Lines about requests; all others tell what a host believes. */
+bool IsOnRequest(const log_line& line) {
+  return line.event.starts_with("request_") ||
+         line.event.starts_with("answer_") || line.event == "repeat_denied";
+}
+
+void Print(const std::vector<log_line>& lines, std::ostream& out) {
+  const std::uint64_t begin = lines.front().unix_us;
+  for (const log_line& line : lines) {
+    const auto offset_ms =
+        (static_cast<double>(line.unix_us) - static_cast<double>(begin)) / 1e3;
+    out << '+' << static_cast<std::int64_t>(offset_ms) << " ms  " << line.host
+        << "  " << line.event;
+    if (!line.id.empty()) out << ' ' << line.id;
+    if (!line.inputs.empty()) out << "  " << line.inputs;
+    out << '\n';
+  }
+}
+
+}  // namespace
+
+std::vector<log_line> ReadLogLines(std::istream& in) {
+  std::vector<log_line> lines;
+  std::string text;
+  while (std::getline(in, text)) {
+    log_line line;
+    if (ReadLine(text, line)) lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+std::vector<log_line> ExplainRequest(std::vector<log_line> lines,
+                                     std::string_view id) {
+  std::set<std::string> hosts;
+  std::uint64_t first = 0;
+  std::uint64_t last = 0;
+  for (const log_line& line : lines) {
+    if (line.id != id || !IsOnRequest(line)) continue;
+    if (hosts.empty() || line.unix_us < first) first = line.unix_us;
+    last = std::max(last, line.unix_us);
+    hosts.insert(line.host);
+  }
+  const std::uint64_t begin = first > kBeforeUs ? first - kBeforeUs : 0;
+  std::erase_if(lines, [&](const log_line& line) {
+    if (IsOnRequest(line)) return line.id != id;
+    const bool near = line.unix_us >= begin && line.unix_us <= last;
+    return !near || !hosts.contains(line.host);
+  });
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const log_line& a, const log_line& b) {
+                     return a.unix_us < b.unix_us;
+                   });
+  return lines;
+}
+
+exit_code RunExplain(command_context& context) {
+  const std::string id = context.arguments.front();
+  std::vector<log_line> lines;
+  for (std::size_t i = 1; i < context.arguments.size(); ++i) {
+    const std::string& path = context.arguments[i];
+    std::ifstream file;
+    if (path != kStandardInput) {
+      file.open(path);
+      if (!file) {
+        throw command_error(
+            exit_code::unreadable_input,
+            path + ": cannot be read; check path and permissions");
+      }
+    }
+    auto read = ReadLogLines(path == kStandardInput ? std::cin : file);
+    std::move(read.begin(), read.end(), std::back_inserter(lines));
+  }
+  const auto history = ExplainRequest(std::move(lines), id);
+  if (history.empty()) {
+    throw command_error(exit_code::refused,
+                        "no line on '" + id +
+                            "'; requests that are served on time and whole "
+                            "are only counted, see the metrics");
+  }
+  Print(history, context.out);
+  return exit_code::ok;
+}
+
+}  // namespace corianderrail
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -150,9 +150,9 @@
   http_handler MetricsHandler();
   store_link_settings LinkSettings(
       std::string_view topic,
-      void (state::*on_changes)(std::vector<gateway::store_item>));
-  void OnConfig(std::vector<gateway::store_item> changes);
-  void OnLeafs(std::vector<gateway::store_item> changes);
+      void (state::*on_changes)(const std::vector<gateway::store_item>&));
+  void OnConfig(const std::vector<gateway::store_item>& changes);
+  void OnLeafs(const std::vector<gateway::store_item>& changes);
   void StartLinks();
   void OnMembers();
   void CheckReady();
@@ -342,7 +342,7 @@
 
 store_link_settings edge_process::state::LinkSettings(
     std::string_view topic,
-    void (state::*on_changes)(std::vector<gateway::store_item>)) {
+    void (state::*on_changes)(const std::vector<gateway::store_item>&)) {
   store_link_settings link;
   link.topic = std::string(topic);
   link.store_address = settings.store_address;
@@ -350,9 +350,9 @@
   link.zone = settings.zone;
   link.seed = RandomSeed();
   link.members = [this] { return members; };
-  link.on_news = [this, name = link.topic, on_changes](store_news news) {
+  link.on_news = [this, name = link.topic, on_changes](const store_news& news) {
     relay.Publish(name, news.changes, news.revision, news.confirmed);
-    (this->*on_changes)(std::move(news.changes));
+    (this->*on_changes)(news.changes);
     peers.SetRevision(std::max(config_store.Newest(), leaf_store.Newest()));
   };
   link.on_source = [this, name = link.topic](std::string_view source,
@@ -364,8 +364,9 @@
   return link;
 }
 
-void edge_process::state::OnConfig(std::vector<gateway::store_item> changes) {
-  for (gateway::store_item& item : changes) {
+void edge_process::state::OnConfig(
+    const std::vector<gateway::store_item>& changes) {
+  for (const gateway::store_item& item : changes) {
     if (item.key != platform::kConfigKey || item.removed) continue;
     auto config = platform::DecodeConfig(item.value);
     if (!config) {
@@ -387,11 +388,12 @@
   CheckReady();
 }
 
-void edge_process::state::OnLeafs(std::vector<gateway::store_item> changes) {
+void edge_process::state::OnLeafs(
+    const std::vector<gateway::store_item>& changes) {
   gateway::registry_event happening;
-  for (gateway::store_item& item : changes) {
+  for (const gateway::store_item& item : changes) {
     gateway::registry_change change;
-    change.key = std::move(item.key);
+    change.key = item.key;
     change.revision = item.revision;
     if (!item.removed) {
       change.record = platform::DecodeLeaf(change.key, item.value);
@@ -453,7 +455,7 @@
       std::max<std::uint32_t>(static_cast<std::uint32_t>(regions.size()), 1);
   const std::uint32_t elsewhere = entries / region_count;
   happening.other_regions = {elsewhere, std::max(entries - elsewhere, 1u)};
-  Reduce(std::move(happening));
+  Reduce(happening);
 }
 
 void edge_process::state::WaitForSignal() {
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -121,7 +121,7 @@
   news.confirmed = now - sources_.Age(now);
   TellSource(sources_.ReadsStore() ? kStore : std::string_view(peer_address_),
              true);
-  settings_.on_news(std::move(news));
+  settings_.on_news(news);
   Run();
 }
 
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -35,7 +35,7 @@
   std::string zone;           ///< Its availability zone.
   std::uint64_t seed = 0;     ///< Of random pauses.
   std::function<std::vector<member_record>()> members;  ///< All hosts.
-  std::function<void(store_news)> on_news;              ///< After each answer.
+  std::function<void(const store_news&)> on_news;       ///< After each answer.
   /** The source was lost, regained or changed. */
   std::function<void(std::string_view source, bool reachable)> on_source;
 };
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -129,6 +129,7 @@
   void TakeAnswer(exchange& one, std::size_t index, open_request& call,
                   leaf_answer& answer, time_point now);
   void TakeFailure(exchange& one, std::size_t index, bool ran, time_point now);
+  static std::string MissingParts(const exchange& one);
   void Answer(exchange& one, client_answer answer, time_point now);
   void Refuse(exchange& one, refusal_cause cause, duration retry_after,
               time_point now);
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -357,22 +357,32 @@
        {"left_us", one.path == nullptr ? "" : Micros(one.deadline - now)},
        {"parts", std::to_string(one.parts.size())},
        {"answered", std::to_string(answered)},
-       {"sends", std::to_string(sends)}}});
+       {"sends", std::to_string(sends)},
+       {"missing", MissingParts(one)}}});
   Answer(one, std::move(answer), now);
 }
 
+/** Services without an answer, each with the progress of its part. */
+std::string gateway::MissingParts(const exchange& one) {
+  constexpr std::string_view kPhases[] = {"unsent", "waiting", "open",
+                                          "answered", "failed"};
+  std::string missing;
+  for (const part& piece : one.parts) {
+    if (piece.state == part::phase::answered) continue;
+    if (!missing.empty()) missing += ',';
+    missing += piece.service->name;
+    missing += ':';
+    missing += kPhases[static_cast<std::size_t>(piece.state)];
+  }
+  return missing;
+}
+
 void gateway::Answer(exchange& one, client_answer answer, time_point now) {
   for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
   if (answer.cause == refusal_cause::none) {
     const bool late = one.path != nullptr && now > one.arrived + one.path->goal;
     if (late) ++counters_.late;
     if (late || answer.missing_parts > 0) {
-      std::string missing;
-      for (const part& piece : one.parts) {
-        if (piece.state == part::phase::answered) continue;
-        if (!missing.empty()) missing += ',';
-        missing += piece.service->name;
-      }
       effects_->push_back(log_effect{
           late ? decision::late : decision::partial,
           one.request->attempt,
@@ -381,7 +391,7 @@
             std::to_string(static_cast<std::uint64_t>(one.config->version))},
            {"elapsed_us", Micros(now - one.arrived)},
            {"goal_us", Micros(one.path->goal)},
-           {"missing", missing}}});
+           {"missing", MissingParts(one)}}});
     }
   }
   effects_->push_back(answer_effect{one.id, std::move(answer)});
