--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -3,8 +3,11 @@
 #include "edge/edge_metrics.h"
 
 #include <array>
+#include <chrono>
 #include <string_view>
 
+#include "contract/toml_reader.h"
+
 namespace corianderrail::edge {
 
 namespace {
@@ -103,6 +106,49 @@
   text.append(" ").append(type).append("\n");
 }
 
+constexpr std::array<std::string_view, gateway::kOutcomes> kOutcomeNames = {
+    "whole", "partial", "refused"};
+
+/** One histogram of Prometheus: buckets are cumulative, seconds the unit. */
+void AppendHistogram(std::string& text, std::string_view name,
+                     const std::string& labels,
+                     const gateway::latency_counts& counts) {
+  const auto line = [&](std::string_view suffix, const std::string& all,
+                        const std::string& value) {
+    text.append(kPrefix).append(name).append(suffix);
+    text.append("{").append(all).append("} ").append(value).append("\n");
+  };
+  std::uint64_t below = 0;
+  for (std::size_t i = 0; i < gateway::kLatencyEdgesMs.size(); ++i) {
+    below += counts.buckets[i];
+    const double seconds =
+        static_cast<double>(gateway::kLatencyEdgesMs[i]) / 1e3;
+    line("_bucket", labels + ",le=\"" + NumberText(seconds) + "\"",
+         std::to_string(below));
+  }
+  line("_bucket", labels + ",le=\"+Inf\"", std::to_string(counts.count));
+  line("_sum", labels,
+       NumberText(std::chrono::duration<double>(counts.sum).count()));
+  line("_count", labels, std::to_string(counts.count));
+}
+
+void AppendAnswers(std::string& text, const gateway::answer_stats& answers) {
+  constexpr std::string_view kName = "answer_seconds";
+  AppendHead(text, kName, "histogram",
+             "Time from a request to its answer, by rank and outcome.");
+  for (std::size_t rank = 0; rank < gateway::kRankRows; ++rank) {
+    for (std::size_t i = 0; i < gateway::kOutcomes; ++i) {
+      const auto& counts =
+          answers.Of(rank, static_cast<gateway::answer_outcome>(i));
+      if (counts.count == 0) continue;
+      AppendHistogram(text, kName,
+                      "rank=\"" + std::to_string(rank) + "\",outcome=\"" +
+                          std::string(kOutcomeNames[i]) + "\"",
+                      counts);
+    }
+  }
+}
+
 }  // namespace
 
 std::string MetricsText(const edge_metrics_sources& from) {
@@ -119,6 +165,7 @@
     text.append("\"} ").append(std::to_string(from.core.refused[i]));
     text.append("\n");
   }
+  AppendAnswers(text, from.answers);
   return text;
 }
 
--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -8,6 +8,7 @@
 #include "edge/http_port.h"
 #include "edge/leaf_pool.h"
 #include "edge/peer_link.h"
+#include "gateway/answer_stats.h"
 #include "gateway/gateway_type.h"
 
 namespace corianderrail::edge {
@@ -15,6 +16,7 @@
 /** What the text is written from. */
 struct edge_metrics_sources {
   gateway::gateway_counters core;       ///< Requests and decisions.
+  gateway::answer_stats answers;        ///< Latencies of answers.
   std::uint64_t open_exchanges = 0;     ///< Requests not answered yet.
   std::uint64_t open_calls = 0;         ///< Requests to leafs in flight.
   std::uint64_t known_leafs = 0;        ///< Leafs in the registry.
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -245,8 +245,7 @@
   reply.status = effect.answer.status;
   reply.fields = platform::AnswerFields(effect.answer);
   reply.body = std::move(effect.answer.body);
-  clients.Reply(request_id{static_cast<std::uint64_t>(effect.exchange)},
-                std::move(reply));
+  clients.Reply(request_id{static_cast<std::uint64_t>(effect.exchange)}, reply);
 }
 
 void edge_process::state::Wake() {
@@ -320,6 +319,7 @@
   handler.on_request = [this](request_id id, http_request&&) {
     edge_metrics_sources from;
     from.core = core.Counters();
+    from.answers = core.Answers();
     from.open_exchanges = core.OpenExchanges();
     from.open_calls = core.OpenCalls();
     from.known_leafs = core.Leafs();
--- a/packages/edge/http_port.cpp
+++ b/packages/edge/http_port.cpp
@@ -152,7 +152,7 @@
       : socket_(std::move(socket)), owner_(std::move(owner)) {}
 
   void Read();
-  void Reply(http_reply reply);
+  void Reply(const http_reply& reply);
   void Close();
   void Sweep(clock::time_point now);
 
@@ -283,7 +283,7 @@
   request_ = 0;
 }
 
-void http_port::state::session::Reply(http_reply reply) {
+void http_port::state::session::Reply(const http_reply& reply) {
   EndRequest();
   if (!socket_.is_open()) return;
   const bool close = !keep_alive_ || owner_->draining || failed_status_ != 0;
@@ -404,10 +404,10 @@
       });
 }
 
-void http_port::Reply(request_id request, http_reply reply) {
+void http_port::Reply(request_id request, const http_reply& reply) {
   const auto found = state_->requests.find(static_cast<std::uint64_t>(request));
   if (found == state_->requests.end()) return;
-  if (const auto open = found->second.lock()) open->Reply(std::move(reply));
+  if (const auto open = found->second.lock()) open->Reply(reply);
 }
 
 void http_port::SetLimits(const http_limits& limits) {
--- a/packages/edge/http_port.h
+++ b/packages/edge/http_port.h
@@ -69,7 +69,7 @@
   http_port& operator=(const http_port&) = delete;
 
   /** Answers a request; does nothing when its connection is gone. */
-  void Reply(request_id request, http_reply reply);
+  void Reply(request_id request, const http_reply& reply);
 
   void SetLimits(const http_limits& limits);
 
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -333,7 +333,7 @@
 leaf_pool::state::connection_ptr leaf_pool::state::TakeIdle(leaf& from,
                                                             bool fresh_only) {
   if (from.idle.empty()) return nullptr;
-  const connection_ptr best = from.idle.back();
+  connection_ptr best = from.idle.back();
   const auto now = clock::now();
   if (fresh_only && now - best->IdleSince() > kFreshIdle) return nullptr;
   from.idle.pop_back();
@@ -425,7 +425,7 @@
     : state_(std::make_shared<state>(io, std::move(sink))) {}
 
 leaf_pool::~leaf_pool() {
-  state_->sink = [](gateway::event) {};
+  state_->sink = [](const gateway::event&) {};
   for (auto& [handle, to] : state_->leafs) to.pending.clear();
   std::vector<state::connection_ptr> all;
   for (auto& [handle, to] : state_->leafs) {
--- a/packages/edge/peer_link.cpp
+++ b/packages/edge/peer_link.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-peer_link::peer_link(boost::asio::io_context& io, member_record self,
+peer_link::peer_link(boost::asio::io_context& io, const member_record& self,
                      membership_settings settings, std::string shared_key,
                      std::uint64_t seed)
     : socket_(io, DatagramEndpoint(self.peer_address)),
--- a/packages/edge/peer_link.h
+++ b/packages/edge/peer_link.h
@@ -31,7 +31,7 @@
 class peer_link {
  public:
   /** @throws boost::system::system_error when the address cannot be used. */
-  peer_link(boost::asio::io_context& io, member_record self,
+  peer_link(boost::asio::io_context& io, const member_record& self,
             membership_settings settings, std::string shared_key,
             std::uint64_t seed);
 
--- a/packages/edge/tests/http_getter_test.cpp
+++ b/packages/edge/tests/http_getter_test.cpp
@@ -49,10 +49,10 @@
   }
 
   /** Answers the next connection's first request with these bytes. */
-  void Serve(std::string bytes) {
+  void Serve(const std::string& bytes) {
     auto peer = std::make_shared<tcp::socket>(io_);
     peers_.push_back(peer);
-    acceptor_.async_accept(*peer, [this, peer, bytes](auto error) {
+    acceptor_.async_accept(*peer, [peer, bytes](auto error) {
       if (error) return;
       auto in = std::make_shared<asio::streambuf>();
       asio::async_read_until(*peer, *in, "\r\n\r\n",
--- a/packages/edge/tests/http_port_test.cpp
+++ b/packages/edge/tests/http_port_test.cpp
@@ -226,7 +226,7 @@
       text += pieces[random() % pieces.size()];
     const bool framed = random() % 2 == 0;
     text += "\r\n";
-    const std::string body = bodies[random() % bodies.size()];
+    const std::string& body = bodies[random() % bodies.size()];
     text += body;
     // A request whose head is refused must not start another one.
     Exchange(text + (framed ? "" : "x") + std::string(kHidden), false);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/answer_stats.h"
 #include "gateway/answer_timing.h"
 #include "gateway/gateway_type.h"
 #include "gateway/leaf_choice.h"
@@ -57,6 +58,7 @@
   const client_limits& Limits() const;
 
   const gateway_counters& Counters() const { return counters_; }
+  const answer_stats& Answers() const { return answers_; }
   std::size_t OpenExchanges() const { return exchanges_.size(); }
   std::size_t OpenCalls() const { return calls_.size(); }
   std::size_t Leafs() const { return directory_.Size(); }
@@ -156,6 +158,7 @@
   std::uint64_t next_arrival_ = 1;
   time_point next_check_{};
   gateway_counters counters_;
+  answer_stats answers_;
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -50,6 +50,12 @@
   return kNames[static_cast<std::size_t>(cause)];
 }
 
+answer_outcome OutcomeOf(const client_answer& answer) {
+  if (answer.cause != refusal_cause::none) return answer_outcome::refused;
+  return answer.missing_parts > 0 ? answer_outcome::partial
+                                  : answer_outcome::whole;
+}
+
 client_answer Forwarded(leaf_answer& from) {
   client_answer answer;
   answer.status = from.status;
@@ -379,6 +385,9 @@
 
 void gateway::Answer(exchange& one, client_answer answer, time_point now) {
   for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
+  if (one.path != nullptr) {
+    answers_.Add(one.path->rank, OutcomeOf(answer), now - one.arrived);
+  }
   if (answer.cause == refusal_cause::none) {
     const bool late = one.path != nullptr && now > one.arrived + one.path->goal;
     if (late) ++counters_.late;
--- a/packages/gateway/tests/placing_topics_test.cpp
+++ b/packages/gateway/tests/placing_topics_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <vector>
 
+#include "gateway/answer_stats.h"
 #include "gateway/answer_timing.h"
 #include "gateway/hedge_timing.h"
 #include "gateway/leaf_choice.h"
@@ -30,7 +31,7 @@
   return candidate;
 }
 
-const time_point kStart{seconds(50)};
+constexpr time_point kStart{seconds(50)};
 
 /** Evidence of one leaf with a call at a time. */
 class evidence_fixture {
@@ -251,6 +252,19 @@
   CHECK(table.Find("other", "/a/") == nullptr);
 }
 
+// Guards against latencies that land in the wrong bucket.
+TEST_CASE("Stats_Latencies_AreCountedByRankAndOutcome") {
+  answer_stats stats;
+  stats.Add(0, answer_outcome::whole, milliseconds(5));
+  stats.Add(0, answer_outcome::whole, milliseconds(6));
+  stats.Add(9, answer_outcome::refused, seconds(9));
+  const auto& whole = stats.Of(0, answer_outcome::whole);
+  CHECK(whole.buckets[0] == 1);
+  CHECK(whole.buckets[1] == 1);
+  CHECK(whole.sum == milliseconds(11));
+  CHECK(stats.Of(3, answer_outcome::refused).buckets.back() == 1);
+}
+
 // Guards against a reader that misses a removal between two reads.
 TEST_CASE("Mirror_ChangesAfter_HoldsRemovalsAndNoGap") {
   store_mirror mirror;
