--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -92,11 +92,6 @@
      [](const sources& s) { return std::uint64_t{s.ready}; }},
 };
 
-constexpr std::array<std::string_view, 10> kCauses = {
-    "none",           "bad_request", "no_configuration", "no_route",
-    "no_leaf",        "overloaded",  "not_run",          "leaf_failed",
-    "too_few_shards", "timed_out"};
-
 constexpr std::string_view kPrefix = "corianderrail_edge_";
 
 void AppendHead(std::string& text, std::string_view name, std::string_view type,
@@ -160,8 +155,11 @@
   }
   AppendHead(text, "refused_total", "counter",
              "Requests that this host answered itself, by cause.");
-  for (std::size_t i = 1; i < kCauses.size(); ++i) {
-    text.append(kPrefix).append("refused_total{cause=\"").append(kCauses[i]);
+  for (std::size_t i = 1; i < gateway::kRefusalCauses; ++i) {
+    const auto cause = static_cast<gateway::refusal_cause>(i);
+    text.append(kPrefix)
+        .append("refused_total{cause=\"")
+        .append(RefusalName(cause));
     text.append("\"} ").append(std::to_string(from.core.refused[i]));
     text.append("\n");
   }
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -28,6 +28,7 @@
 #include "edge/store_link.h"
 #include "gateway/entry_choice.h"
 #include "gateway/gateway.h"
+#include "gateway/http_status.h"
 #include "gateway/load_signal.h"
 #include "gateway/news_check.h"
 #include "gateway/stop_timing.h"
@@ -76,10 +77,6 @@
 constexpr int kDrainNumerator = 6;
 constexpr int kDrainDenominator = 10;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 std::uint64_t RandomSeed() {
   std::random_device source;
   return (std::uint64_t{source()} << 32) ^ source();
@@ -282,7 +279,9 @@
   handler.on_request = [this](request_id id, http_request&& request) {
     const std::string target(request.target());
     const bool known = target == platform::kReadyPath;
-    const int status = !known ? kNotFound : ready ? kOk : kUnavailable;
+    const int status = !known  ? gateway::kStatusNotFound
+                       : ready ? gateway::kStatusOk
+                               : gateway::kStatusUnavailable;
     ready_port.Reply(id, {status, {}, {}});
   };
   handler.on_gone = [](request_id) {};
@@ -294,18 +293,18 @@
   handler.on_request = [this](request_id id, http_request&& request) {
     const std::string target(request.target());
     if (!target.starts_with(platform::kLookupPath)) {
-      lookups.Reply(id, {kNotFound, {}, {}});
+      lookups.Reply(id, {gateway::kStatusNotFound, {}, {}});
       return;
     }
     const auto from = platform::DecodeLookup(target);
     const auto addresses = gateway::ChooseEntries(
         members, from.zone, from.region, kEntries, kMostEntries);
     if (addresses.empty()) {
-      lookups.Reply(id, {kUnavailable, {}, {}});
+      lookups.Reply(id, {gateway::kStatusUnavailable, {}, {}});
       return;
     }
     lookups.Reply(
-        id, {kOk,
+        id, {gateway::kStatusOk,
              {{"Content-Type", "application/json"}},
              platform::EncodeLookup(addresses,
                                     static_cast<int>(settings.lookup_ttl_s))});
@@ -333,8 +332,9 @@
     from.store_failures = config_store.Failures() + leaf_store.Failures();
     from.log_lines_dropped = lines.Dropped() + log.LeftOut();
     from.ready = ready;
-    metrics_port.Reply(
-        id, {kOk, {{"Content-Type", "text/plain"}}, MetricsText(from)});
+    metrics_port.Reply(id, {gateway::kStatusOk,
+                            {{"Content-Type", "text/plain"}},
+                            MetricsText(from)});
   };
   handler.on_gone = [](request_id) {};
   return handler;
--- a/packages/edge/http_port.cpp
+++ b/packages/edge/http_port.cpp
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "gateway/http_status.h"
 namespace corianderrail::edge {
 
 namespace {
@@ -34,9 +35,7 @@
 /** Time that a peer has to close after this side did. */
 constexpr std::chrono::seconds kLinger{1};
 
-bool IsIdempotentHead(boost::beast::string_view method) {
-  return method == "HEAD";
-}
+bool IsHead(boost::beast::string_view method) { return method == "HEAD"; }
 
 bool IsDigits(boost::beast::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
@@ -68,13 +67,13 @@
 
 /** Status for a request that could not be read; 0 closes without one. */
 int StatusFor(const error_code& error) {
-  if (error == http::error::header_limit) return 431;
-  if (error == http::error::body_limit) return 413;
+  if (error == http::error::header_limit) return gateway::kStatusHeadTooLarge;
+  if (error == http::error::body_limit) return gateway::kStatusTooLarge;
   if (error == http::error::end_of_stream) return 0;
   if (error == http::error::partial_message) return 0;
   if (error.category() ==
       http::make_error_code(http::error::bad_method).category()) {
-    return 400;
+    return gateway::kStatusBadRequest;
   }
   return 0;
 }
@@ -268,7 +267,7 @@
   http_request request = std::move(*waiting_);
   waiting_.reset();
   keep_alive_ = request.keep_alive();
-  head_ = IsIdempotentHead(request.method_string());
+  head_ = IsHead(request.method_string());
   request_ = owner_->next_request++;
   owner_->requests[request_] = weak_from_this();
   const request_id id{request_};
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -139,9 +139,8 @@
   using parser = http::response_parser<http::string_body>;
 
   void StartRead();
-  void OnWritten(error_code error);
   void OnAnswer(error_code error);
-  void Finish(error_code error);
+  void Finish();
   void BecomeIdle();
   void WatchIdle();
   void FailCall(leaf_failure failure);
@@ -194,8 +193,10 @@
   owner_->busy[static_cast<std::uint64_t>(current_->call)] = weak_from_this();
   writing_ = true;
   asio::async_write(socket_, asio::buffer(out_),
-                    [self = shared_from_this()](error_code error, std::size_t) {
-                      self->OnWritten(error);
+                    [self = shared_from_this()](error_code, std::size_t) {
+                      // After an error an answer may still arrive; the read
+                      // decides.
+                      self->writing_ = false;
                     });
   StartRead();
 }
@@ -212,12 +213,6 @@
                    });
 }
 
-void leaf_pool::state::connection::OnWritten(error_code error) {
-  writing_ = false;
-  if (closed_ || !error || !current_) return;
-  // The answer may still arrive; the read decides.
-}
-
 void leaf_pool::state::connection::OnAnswer(error_code error) {
   if (closed_ || !current_) return;
   if (error) {
@@ -241,10 +236,10 @@
     StartRead();
     return;
   }
-  Finish(error);
+  Finish();
 }
 
-void leaf_pool::state::connection::Finish(error_code) {
+void leaf_pool::state::connection::Finish() {
   proven_ = true;
   platform::http_response message = parser_->release();
   // Bytes after the answer belong to no request, and what is still being
--- a/packages/edge/relay_codec.cpp
+++ b/packages/edge/relay_codec.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "gateway/http_status.h"
 #include "wire/wire_error.h"
 
 namespace corianderrail::edge {
@@ -20,9 +21,6 @@
 using gateway::store_read_kind;
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kGone = 410;
-
 constexpr std::string_view kList = "list";
 constexpr std::string_view kChanges = "changes";
 
@@ -104,8 +102,8 @@
 
 std::variant<relay_reply, store_failure> DecodeRelayReply(
     int status, std::string_view body) {
-  if (status == kGone) return store_failure::compacted;
-  if (status != kOk) return store_failure::refused;
+  if (status == gateway::kStatusGone) return store_failure::compacted;
+  if (status != gateway::kStatusOk) return store_failure::refused;
   try {
     const json document = json::from_msgpack(body);
     relay_reply reply;
--- a/packages/edge/relay_server.cpp
+++ b/packages/edge/relay_server.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "edge/process_time.h"
+#include "gateway/http_status.h"
 #include "wire/wire_error.h"
 
 namespace corianderrail::edge {
@@ -16,11 +17,6 @@
 using gateway::store_read_kind;
 using gateway::store_reply;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kGone = 410;
-constexpr int kUnavailable = 503;
-
 }  // namespace
 
 relay_server::relay_server(boost::asio::io_context& io,
@@ -41,7 +37,7 @@
   try {
     fresh = {id, DecodeRelayRequest(target), {}};
   } catch (const wire_error& error) {
-    port_.Reply(id, {kBadRequest, {}, error.what()});
+    port_.Reply(id, {gateway::kStatusBadRequest, {}, error.what()});
     return;
   }
   const time_point now = Now();
@@ -57,7 +53,7 @@
                           time_point now) {
   const topic_state& topic = topics_[one.request.topic];
   if (topic.mirror.Revision() == 0) {
-    if (must) port_.Reply(one.id, {kUnavailable, {}, {}});
+    if (must) port_.Reply(one.id, {gateway::kStatusUnavailable, {}, {}});
     return must;
   }
   const bool list = one.request.kind == store_read_kind::list;
@@ -65,12 +61,12 @@
       list ? topic.mirror.List()
            : topic.mirror.ChangesAfter(one.request.revision);
   if (!items) {
-    port_.Reply(one.id, {kGone, {}, {}});
+    port_.Reply(one.id, {gateway::kStatusGone, {}, {}});
     return true;
   }
   if (!list && items->items.empty() && !must) return false;
   const relay_reply reply{std::move(*items), now - topic.confirmed};
-  port_.Reply(one.id, {kOk, {}, EncodeRelayReply(reply)});
+  port_.Reply(one.id, {gateway::kStatusOk, {}, EncodeRelayReply(reply)});
   return true;
 }
 
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gateway/gateway_state.h"
+#include "gateway/http_status.h"
 
 namespace corianderrail::gateway {
 
@@ -91,7 +92,7 @@
   const bool success = answer.status >= 200 && answer.status < 300;
   const bool usable = !answer.proof.empty() && !answer.encoded;
   if (leaf != nullptr) {
-    if (answer.status == 421) {
+    if (answer.status == kStatusMisdirected) {
       leaf->evidence.Forget(happening.call);
       leaf->replaced = true;
       LogSuspicion(*leaf, "another leaf answers at its address");
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -126,8 +126,8 @@
   void Begin(exchange& one, time_point now);
   bool StartParts(exchange& one, time_point now);
   bool EnoughLeafs(const exchange& one, time_point now) const;
-  bool FinishPlain(exchange& one, time_point now);
-  bool FinishGather(exchange& one, time_point now);
+  void FinishPlain(exchange& one, time_point now);
+  void FinishGather(exchange& one, time_point now);
   void TakeAnswer(exchange& one, std::size_t index, open_request& call,
                   leaf_answer& answer, time_point now);
   void TakeFailure(exchange& one, std::size_t index, bool ran, time_point now);
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -6,17 +6,13 @@
 
 #include "gateway/gateway.h"
 #include "gateway/gateway_state.h"
+#include "gateway/http_status.h"
 #include "gateway/record_merge.h"
 
 namespace corianderrail::gateway {
 
 namespace {
 
-constexpr int kNotFound = 404;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 /** When a client may find what was missing: room at a leaf after about one
  *  request, leafs after a probe or the return of their entries. */
 constexpr duration kRetrySoon = std::chrono::milliseconds(50);
@@ -36,20 +32,17 @@
 
 /** An answer of the leaf itself that is passed on as it is. */
 bool IsClientFault(const leaf_answer& answer) {
-  if (answer.encoded || answer.status == 421) return false;
-  if (answer.status == 429 || answer.status == 408) return false;
+  if (answer.encoded || answer.status == kStatusMisdirected) {
+    return false;
+  }
+  if (answer.status == kStatusTooManyRequests ||
+      answer.status == kStatusRequestTimeout) {
+    return false;
+  }
   const bool client_fault = answer.status >= 400 && answer.status < 500;
   return client_fault && (!answer.proof.empty() || answer.not_run);
 }
 
-std::string_view CauseName(refusal_cause cause) {
-  constexpr std::string_view kNames[] = {
-      "none",           "bad_request", "no_configuration", "no_route",
-      "no_leaf",        "overloaded",  "not_run",          "leaf_failed",
-      "too_few_shards", "timed_out"};
-  return kNames[static_cast<std::size_t>(cause)];
-}
-
 answer_outcome OutcomeOf(const client_answer& answer) {
   if (answer.cause != refusal_cause::none) return answer_outcome::refused;
   return answer.missing_parts > 0 ? answer_outcome::partial
@@ -59,8 +52,6 @@
 client_answer Forwarded(leaf_answer& from) {
   client_answer answer;
   answer.status = from.status;
-  answer.proof = std::move(from.proof);
-  answer.attempt = std::move(from.attempt);
   answer.fields = std::move(from.fields);
   answer.body = std::move(from.body);
   return answer;
@@ -215,10 +206,11 @@
     if (!piece.answer.not_run) one.may_have_run = true;
     return;
   }
-  const bool ran = !answer.not_run && answer.status != 421;
+  const bool ran = !answer.not_run && answer.status != kStatusMisdirected;
   // The address belongs to another leaf, so this one was not asked.
-  if (answer.status == 421) std::erase(piece.asked, call.leaf);
-  const bool keeps = ran && answer.status >= 500 && answer.status != 503 &&
+  if (answer.status == kStatusMisdirected) std::erase(piece.asked, call.leaf);
+  const bool keeps = ran && answer.status >= 500 &&
+                     answer.status != kStatusUnavailable &&
                      !answer.proof.empty() && !answer.encoded;
   if (keeps) one.failure = std::move(answer);
   TakeFailure(one, index, ran, now);
@@ -242,12 +234,12 @@
   LogRepeat(one, piece, repeat_reason::failure, now);
 }
 
-bool gateway::FinishPlain(exchange& one, time_point now) {
+void gateway::FinishPlain(exchange& one, time_point now) {
   part& piece = one.parts[0];
   if (piece.state == part::phase::answered) {
     ++counters_.forwarded;
     Answer(one, Forwarded(piece.answer), now);
-    return true;
+    return;
   }
   if (piece.state == part::phase::failed) {
     if (one.failure) {
@@ -255,15 +247,14 @@
     } else {
       RefuseFailed(one, refusal_cause::leaf_failed, now);
     }
-    return true;
+    return;
   }
-  if (now < one.deadline) return false;
+  if (now < one.deadline) return;
   if (piece.open > 0) one.may_have_run = true;
   RefuseFailed(one, refusal_cause::timed_out, now);
-  return true;
 }
 
-bool gateway::FinishGather(exchange& one, time_point now) {
+void gateway::FinishGather(exchange& one, time_point now) {
   gather_progress progress;
   progress.shards = static_cast<std::uint32_t>(one.parts.size());
   progress.min_ratio = one.path->min_shard_ratio;
@@ -277,16 +268,16 @@
     if (piece.open > 0) one.may_have_run = true;
   }
   const gather_step step = DecideGather(progress, now);
-  if (step == gather_step::wait) return false;
+  if (step == gather_step::wait) return;
   if (step == gather_step::fail) {
     RefuseFailed(one,
                  now >= one.deadline ? refusal_cause::timed_out
                                      : refusal_cause::too_few_shards,
                  now);
-    return true;
+    return;
   }
   client_answer answer;
-  answer.status = 200;
+  answer.status = kStatusOk;
   std::vector<std::string_view> bodies;
   for (const part& piece : one.parts) {
     const bool answered = piece.state == part::phase::answered;
@@ -306,7 +297,6 @@
   ++counters_.gathered;
   if (answer.missing_parts > 0) ++counters_.partial;
   Answer(one, std::move(answer), now);
-  return true;
 }
 
 /** Refuses after leafs were asked; only what never ran is called not run. */
@@ -333,17 +323,17 @@
   answer.cause = cause;
   switch (cause) {
     case refusal_cause::no_route:
-      answer.status = kNotFound;
+      answer.status = kStatusNotFound;
       break;
     case refusal_cause::leaf_failed:
     case refusal_cause::too_few_shards:
-      answer.status = kBadGateway;
+      answer.status = kStatusBadGateway;
       break;
     case refusal_cause::timed_out:
-      answer.status = kGatewayTimeout;
+      answer.status = kStatusGatewayTimeout;
       break;
     default:
-      answer.status = kUnavailable;
+      answer.status = kStatusUnavailable;
       answer.retry_after = retry_after;
   }
   std::uint32_t answered = 0;
@@ -355,7 +345,7 @@
   effects_->push_back(log_effect{
       decision::refused,
       one.request->attempt,
-      {{"cause", std::string(CauseName(cause))},
+      {{"cause", std::string(RefusalName(cause))},
        {"route", one.path == nullptr ? "" : one.path->name},
        {"version", std::to_string(static_cast<std::uint64_t>(Version()))},
        {"status", std::to_string(answer.status)},
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -24,7 +24,6 @@
   time_point hedge_at = kNever;    ///< When a second leaf is asked.
   bool waits_late = false;         ///< It waits behind parts that are on time.
   leaf_answer answer;              ///< Set once answered.
-  std::string answered_by;         ///< Instance that answered.
 };
 
 /** A client's request that is not answered yet. */
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -155,7 +155,7 @@
   std::uint64_t leaf_sheds = 0;      ///< Leafs that were full.
   std::uint64_t leaf_failures = 0;   ///< Requests to leafs that failed.
   std::uint64_t queued = 0;          ///< Requests that waited for room.
-  std::uint64_t refused[10] = {};    ///< By refusal_cause.
+  std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/message_type.h
+++ b/packages/gateway/message_type.h
@@ -2,10 +2,12 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/time_type.h"
@@ -47,7 +49,6 @@
   int status = 0;                    ///< HTTP status.
   std::string proof;                 ///< Proof of work; empty without one.
   std::string attempt;               ///< Echoed attempt; empty without one.
-  std::string instance;              ///< Identifier that the leaf claims.
   bool not_run = false;              ///< The leaf states that it did not run.
   bool encoded = false;              ///< The body has a content encoding.
   std::vector<header_field> fields;  ///< Other end-to-end fields.
@@ -78,13 +79,22 @@
   timed_out,         ///< Time limit of the route or of the client.
 };
 
+inline constexpr std::size_t kRefusalCauses = 10;
+
+/** Name of a cause in logs and metrics. */
+constexpr std::string_view RefusalName(refusal_cause cause) {
+  constexpr std::string_view kNames[kRefusalCauses] = {
+      "none",           "bad_request", "no_configuration", "no_route",
+      "no_leaf",        "overloaded",  "not_run",          "leaf_failed",
+      "too_few_shards", "timed_out"};
+  return kNames[static_cast<std::size_t>(cause)];
+}
+
 /** Answer to a client. */
 struct client_answer {
   int status = 0;                             ///< HTTP status.
   refusal_cause cause = refusal_cause::none;  ///< Set when a host answers.
   std::optional<duration> retry_after;        ///< When room is expected.
-  std::string proof;                          ///< Of a forwarded answer.
-  std::string attempt;                        ///< Echo, of a forwarded answer.
   std::vector<std::string> part_proofs;       ///< Of a gathered answer.
   std::uint32_t missing_parts = 0;            ///< Of a gathered answer.
   std::vector<header_field> fields;           ///< Of a forwarded answer.
