--- /dev/null
+++ b/packages/edge/tests/leaf_pool_test.cpp
@@ -0,0 +1,249 @@
+/** @file leaf_pool_test.cpp Answers of leafs that break the protocol. */
+
+#include "edge/leaf_pool.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace corianderrail::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+using gateway::leaf_answer_event;
+using gateway::leaf_failure;
+using gateway::leaf_failure_event;
+using std::chrono::milliseconds;
+using tcp = asio::ip::tcp;
+
+/** What the leaf does with one request. */
+struct reply_script {
+  std::string bytes;   ///< Sent at once.
+  bool close = false;  ///< Ends the connection after them.
+  bool reset = false;  ///< Resets it.
+};
+
+/** A leaf that follows a script, one entry a request. */
+class pool_fixture {
+ public:
+  pool_fixture()
+      : acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        pool_(io_, [this](gateway::event one) {
+          events_.push_back(std::move(one));
+        }) {
+    Accept();
+  }
+
+  static std::string Answer(const std::string& attempt,
+                            const std::string& body = "ok",
+                            const std::string& fields = "") {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
+           "\r\nX-Server-Stamp: p\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  void Send(const std::string& attempt, bool idempotent = true) {
+    auto request = std::make_shared<gateway::client_request>();
+    request->attempt = attempt;
+    request->method = "GET";
+    request->target = "/x";
+    request->fields = {{"Host", "h"}, {"X-Attempt-Id", attempt}};
+    gateway::send_leaf_effect effect;
+    effect.call = gateway::leaf_call{++calls_};
+    effect.leaf = gateway::leaf_handle{1};
+    effect.address =
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    effect.instance = "i";
+    effect.request = request;
+    effect.time_left = milliseconds(500);
+    effect.idempotent = idempotent;
+    effect.connections = 2;
+    pool_.Send(std::move(effect));
+    Run();
+  }
+
+  void Run(milliseconds length = milliseconds(20)) {
+    io_.restart();
+    io_.run_for(length);
+  }
+
+  /** Body of the answer to a call; "-" for a failure, empty for neither. */
+  std::string Outcome(std::uint64_t call) const {
+    for (const gateway::event& one : events_) {
+      if (const auto* answer = std::get_if<leaf_answer_event>(&one)) {
+        if (answer->call == gateway::leaf_call{call}) {
+          return answer->answer.body;
+        }
+      }
+      if (const auto* failure = std::get_if<leaf_failure_event>(&one)) {
+        if (failure->call == gateway::leaf_call{call}) return "-";
+      }
+    }
+    return {};
+  }
+
+  leaf_failure Failure(std::uint64_t call) const {
+    for (const gateway::event& one : events_) {
+      const auto* failure = std::get_if<leaf_failure_event>(&one);
+      if (failure && failure->call == gateway::leaf_call{call}) {
+        return failure->failure;
+      }
+    }
+    FAIL("no failure of the call");
+    return {};
+  }
+
+ protected:
+  void Accept() {
+    acceptor_.async_accept([this](auto error, tcp::socket socket) {
+      if (error) return;
+      ++accepted_;
+      sockets_.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+      Serve(sockets_.back(), std::make_shared<asio::streambuf>());
+      Accept();
+    });
+  }
+
+  void Serve(const std::shared_ptr<tcp::socket>& socket,
+             const std::shared_ptr<asio::streambuf>& in) {
+    asio::async_read_until(
+        *socket, *in, "\r\n\r\n",
+        [this, socket, in](auto error, std::size_t size) {
+          if (error) return;
+          in->consume(size);
+          if (script_.empty()) return;
+          const reply_script next = script_.front();
+          script_.pop_front();
+          asio::write(*socket, asio::buffer(next.bytes));
+          if (next.reset) {
+            socket->set_option(asio::socket_base::linger(true, 0));
+          }
+          if (next.reset || next.close) {
+            socket->close();
+            return;
+          }
+          Serve(socket, in);
+        });
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<tcp::socket>> sockets_;
+  std::deque<reply_script> script_;  ///< Empty: requests get no answer.
+  int accepted_ = 0;
+  std::uint64_t calls_ = 0;
+  std::vector<gateway::event> events_;
+  leaf_pool pool_;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(pool_fixture, "Pool_TwoRequests_UseOneConnection") {
+  script_ = {{Answer("a", "1")}, {Answer("b", "2")}};
+  Send("a");
+  Send("b");
+  CHECK(Outcome(1) == "1");
+  CHECK(Outcome(2) == "2");
+  CHECK(accepted_ == 1);
+}
+
+// Guards against an answer to another request that is passed on.
+TEST_CASE_METHOD(pool_fixture, "Pool_AnswerOfOtherAttempt_FailsAndCloses") {
+  script_ = {{Answer("other")}, {Answer("b", "2")}};
+  Send("a");
+  CHECK(Outcome(1) == "-");
+  CHECK(Failure(1) == leaf_failure::malformed);
+  Send("b");
+  CHECK(Outcome(2) == "2");
+  CHECK(accepted_ == 2);
+}
+
+// Guards against a second answer that is taken for that of the next request.
+TEST_CASE_METHOD(pool_fixture,
+                 "Pool_SecondAnswerFollows_ConnectionIsNotReused") {
+  script_ = {{Answer("a", "1") + Answer("a", "again")}, {Answer("a", "2")}};
+  Send("a");
+  CHECK(Outcome(1) == "1");
+  Send("a");
+  CHECK(Outcome(2) == "2");
+  CHECK(accepted_ == 2);
+}
+
+// Guards against answers that end early and look complete.
+TEST_CASE_METHOD(pool_fixture, "Pool_AnswerIncomplete_IsAFailure") {
+  std::string whole = Answer("a", "0123456789");
+  SECTION("closed in the body") {
+    script_ = {{whole.substr(0, whole.size() - 3), true}};
+  }
+  SECTION("closed in the head") { script_ = {{whole.substr(0, 30), true}}; }
+  SECTION("reset without a length") {
+    script_ = {
+        {"HTTP/1.1 200 OK\r\nX-Server-Stamp: p\r\n\r\n0123", false, true}};
+  }
+  SECTION("no answer in the protocol") { script_ = {{"hello\r\n\r\n"}}; }
+  Send("a");
+  CHECK(Outcome(1) == "-");
+}
+
+// Guards against losing answers whose end is the end of the connection.
+TEST_CASE_METHOD(pool_fixture, "Pool_AnswerWithoutLength_EndsWithConnection") {
+  script_ = {{"HTTP/1.1 200 OK\r\nX-Server-Stamp: p\r\n\r\n0123", true}};
+  Send("a");
+  CHECK(Outcome(1) == "0123");
+}
+
+// Guards against a request on a connection that the leaf is about to close.
+TEST_CASE_METHOD(pool_fixture, "Pool_OrderAfterIdleTime_OpensANewConnection") {
+  script_ = {{Answer("a", "1")}, {Answer("b", "2")}};
+  Send("a");
+  Run(milliseconds(450));
+  Send("b", false);
+  CHECK(Outcome(2) == "2");
+  CHECK(accepted_ == 2);
+}
+
+// Guards against a connection that is kept beyond the leaf's own limit.
+TEST_CASE_METHOD(pool_fixture, "Pool_LeafStatesIdleLimit_ClosesBefore") {
+  script_ = {{Answer("a", "1", "Keep-Alive: timeout=1\r\n")}};
+  Send("a");
+  Run(milliseconds(350));
+  pool_.Sweep();
+  CHECK(pool_.Counters().open == 0);
+}
+
+// Guards against a cancelled request that goes on at the leaf.
+TEST_CASE_METHOD(pool_fixture, "Pool_Cancelled_ClosesTheConnection") {
+  Send("a");
+  CHECK(pool_.Counters().open == 1);
+  pool_.Cancel(gateway::leaf_call{1});
+  Run();
+  CHECK(pool_.Counters().open == 0);
+  CHECK(Outcome(1).empty());
+}
+
+// Guards against a send that is reported as possibly run although nothing
+// listens there.
+TEST_CASE_METHOD(pool_fixture, "Pool_NothingListens_IsNotSent") {
+  const auto port = acceptor_.local_endpoint().port();
+  acceptor_.close();
+  auto request = std::make_shared<gateway::client_request>();
+  gateway::send_leaf_effect effect;
+  effect.call = gateway::leaf_call{++calls_};
+  effect.address = "127.0.0.1:" + std::to_string(port);
+  effect.request = request;
+  pool_.Send(std::move(effect));
+  Run();
+  CHECK(Failure(1) == leaf_failure::not_sent);
+}
+
+}  // namespace corianderrail::edge
