--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -103,7 +103,7 @@
   // gateway_calls.cpp
   void Place(exchange& one, std::size_t index, time_point now);
   void Hedge(exchange& one, std::size_t index, time_point now);
-  bool CollectCandidates(const exchange& one, const part& piece,
+  void CollectCandidates(const exchange& one, const part& piece,
                          time_point now);
   void Send(exchange& one, std::size_t index, std::size_t candidate,
             time_point now);
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -103,21 +103,21 @@
 /** Finds the route of a request and asks its leafs. */
 void gateway::Begin(exchange& one, time_point now) {
   const auto id = static_cast<std::uint64_t>(one.id);
-  one.path = routes_->Find(one.request->host, one.request->path);
-  if (one.path == nullptr) {
+  one.matched = routes_->Find(one.request->host, one.request->path);
+  if (one.matched == nullptr) {
     Refuse(one, refusal_cause::no_route, {}, now);
     return;
   }
   one.config = routes_->Shared();
-  auto& stats = stats_[one.path->name];
+  auto& stats = stats_[one.matched->name];
   if (!stats) stats = std::make_shared<route_stats>();
   one.stats = stats;
-  const duration limit = one.path->timeout;
+  const duration limit = one.matched->timeout;
   one.deadline =
       one.arrived + std::min(one.request->time_left.value_or(limit), limit);
   one.goal_at =
-      one.arrived +
-      std::max(one.path->goal - settings_.caller_allowance, one.path->goal / 2);
+      one.arrived + std::max(one.matched->goal - settings_.caller_allowance,
+                             one.matched->goal / 2);
   if (StartParts(one, now)) Advance(id, now);
 }
 
@@ -125,7 +125,7 @@
 bool gateway::EnoughLeafs(const exchange& one, time_point now) const {
   gather_progress hoped;
   hoped.shards = static_cast<std::uint32_t>(one.parts.size());
-  hoped.min_ratio = one.path->Gathers() ? one.path->min_shard_ratio : 1.0;
+  hoped.min_ratio = one.matched->Gathers() ? one.matched->min_shard_ratio : 1.0;
   for (const part& piece : one.parts) {
     const auto leafs = directory_.Of(piece.service->name);
     const bool usable =
@@ -142,14 +142,14 @@
  * @return False when the request was refused: leafs would work for nothing.
  */
 bool gateway::StartParts(exchange& one, time_point now) {
-  if (one.path->Gathers()) {
-    one.parts.resize(one.path->shards.size());
+  if (one.matched->Gathers()) {
+    one.parts.resize(one.matched->shards.size());
     for (std::size_t i = 0; i < one.parts.size(); ++i) {
-      one.parts[i].service = Service(one.path->shards[i]);
+      one.parts[i].service = Service(one.matched->shards[i]);
     }
   } else {
     one.parts.resize(1);
-    const auto& targets = one.path->targets;
+    const auto& targets = one.matched->targets;
     const std::size_t turn = one.stats->turn.Next(targets);
     one.parts[0].service = Service(targets[turn].service);
   }
@@ -172,7 +172,7 @@
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   exchange& one = *found->second;
-  if (one.path == nullptr) {
+  if (one.matched == nullptr) {
     if (now < one.deadline) return;
     Refuse(one, refusal_cause::no_configuration, kRetryConfig, now);
     return;
@@ -184,7 +184,7 @@
       Hedge(one, i, now);
     }
   }
-  if (one.path->Gathers()) {
+  if (one.matched->Gathers()) {
     FinishGather(one, now);
   } else {
     FinishPlain(one, now);
@@ -197,7 +197,7 @@
   --piece.open;
   if (piece.state == part::phase::answered) return;
   const bool final =
-      IsSuccess(answer) || (!one.path->Gathers() && IsClientFault(answer));
+      IsSuccess(answer) || (!one.matched->Gathers() && IsClientFault(answer));
   if (final) {
     StopWaiting(one, index);
     piece.state = part::phase::answered;
@@ -225,7 +225,7 @@
   const bool repeatable = one.Idempotent() || !ran;
   piece.hedge_at = kNever;
   piece.state = part::phase::failed;
-  if (!repeatable || piece.asked.size() >= one.path->attempts) return;
+  if (!repeatable || piece.asked.size() >= one.matched->attempts) return;
   const bool extra = !piece.asked.empty();
   if (extra && !TakeRepeat(one, piece, repeat_reason::failure, now)) return;
   Place(one, index, now);
@@ -257,7 +257,7 @@
 void gateway::FinishGather(exchange& one, time_point now) {
   gather_progress progress;
   progress.shards = static_cast<std::uint32_t>(one.parts.size());
-  progress.min_ratio = one.path->min_shard_ratio;
+  progress.min_ratio = one.matched->min_shard_ratio;
   progress.goal_at = one.goal_at;
   progress.deadline = one.deadline;
   for (const part& piece : one.parts) {
@@ -293,7 +293,7 @@
     answer.part_proofs.push_back(piece.answer.proof);
     bodies.push_back(piece.answer.body);
   }
-  answer.body = MergeGreatest(bodies, one.path->top_records);
+  answer.body = MergeGreatest(bodies, one.matched->top_records);
   ++counters_.gathered;
   if (answer.missing_parts > 0) ++counters_.partial;
   Answer(one, std::move(answer), now);
@@ -346,11 +346,11 @@
       decision::refused,
       one.request->attempt,
       {{"cause", std::string(RefusalName(cause))},
-       {"route", one.path == nullptr ? "" : one.path->name},
+       {"route", one.matched == nullptr ? "" : one.matched->name},
        {"version", std::to_string(static_cast<std::uint64_t>(Version()))},
        {"status", std::to_string(answer.status)},
        {"elapsed_us", Micros(now - one.arrived)},
-       {"left_us", one.path == nullptr ? "" : Micros(one.deadline - now)},
+       {"left_us", one.matched == nullptr ? "" : Micros(one.deadline - now)},
        {"parts", std::to_string(one.parts.size())},
        {"answered", std::to_string(answered)},
        {"sends", std::to_string(sends)},
@@ -375,21 +375,22 @@
 
 void gateway::Answer(exchange& one, client_answer answer, time_point now) {
   for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
-  if (one.path != nullptr) {
-    answers_.Add(one.path->rank, OutcomeOf(answer), now - one.arrived);
+  if (one.matched != nullptr) {
+    answers_.Add(one.matched->rank, OutcomeOf(answer), now - one.arrived);
   }
   if (answer.cause == refusal_cause::none) {
-    const bool late = one.path != nullptr && now > one.arrived + one.path->goal;
+    const bool late =
+        one.matched != nullptr && now > one.arrived + one.matched->goal;
     if (late) ++counters_.late;
     if (late || answer.missing_parts > 0) {
       effects_->push_back(log_effect{
           late ? decision::late : decision::partial,
           one.request->attempt,
-          {{"route", one.path->name},
+          {{"route", one.matched->name},
            {"version",
             std::to_string(static_cast<std::uint64_t>(one.config->version))},
            {"elapsed_us", Micros(now - one.arrived)},
-           {"goal_us", Micros(one.path->goal)},
+           {"goal_us", Micros(one.matched->goal)},
            {"missing", MissingParts(one)}}});
     }
   }
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -50,11 +50,8 @@
   return shed < share ? static_cast<std::uint32_t>(shed) : share;
 }
 
-/**
- * Fills candidates_ with the leafs of the part's service.
- * @return False when the service has none.
- */
-bool gateway::CollectCandidates(const exchange& one, const part& piece,
+/** Fills candidates_ with the leafs of the part's service. */
+void gateway::CollectCandidates(const exchange& one, const part& piece,
                                 time_point now) {
   candidates_.clear();
   candidate_leafs_.clear();
@@ -65,11 +62,11 @@
                                  leaf->handle) != piece.asked.end();
     if (asked) candidate.standing = leaf_standing::unusable;
     candidate.expected = one.stats->Expected(leaf->record.zone, settings_.here,
-                                             one.path->goal, now);
+                                             one.matched->goal, now);
     candidate.slowness = leaf->evidence.Slowness(now);
     candidate.failure_rate = leaf->evidence.FailureRate(now);
     // The budget allows few repeats, so most failures cost the whole part.
-    candidate.failure_cost = one.path->goal;
+    candidate.failure_cost = one.matched->goal;
     candidate.open = leaf->evidence.Open();
     candidate.limit = Limit(*leaf, now);
     candidate.slots = leaf->record.slots;
@@ -82,7 +79,6 @@
     candidates_.push_back(candidate);
     candidate_leafs_.push_back(leaf);
   }
-  return !candidates_.empty();
 }
 
 void gateway::Place(exchange& one, std::size_t index, time_point now) {
@@ -130,20 +126,20 @@
   inputs.predicted = PredictLatency(candidates_[candidate]);
   inputs.expected = candidates_[candidate].expected;
   inputs.late =
-      one.stats->Late(leaf.record.zone, settings_.here, one.path->goal, now);
+      one.stats->Late(leaf.record.zone, settings_.here, one.matched->goal, now);
   inputs.alternative = Alternative(candidate);
   inputs.goal_at = one.goal_at;
   const time_point late_at = HedgeAt(inputs);
   const bool may_hedge =
-      one.Idempotent() && piece.asked.size() < one.path->attempts;
+      one.Idempotent() && piece.asked.size() < one.matched->attempts;
   piece.hedge_at = may_hedge ? late_at : kNever;
   leaf.evidence.OnSent({call, now, inputs.expected, late_at - now});
 
   one.calls.push_back(call);
   const auto id = static_cast<std::uint64_t>(call);
-  calls_.emplace(id, open_request{static_cast<std::uint64_t>(one.id), index,
-                                  leaf.handle, now, one.deadline, one.stats,
-                                  piece.service, one.Idempotent()});
+  calls_.emplace(
+      id, open_request{static_cast<std::uint64_t>(one.id), index, leaf.handle,
+                       now, one.deadline, one.stats, piece.service});
   timers_.push({one.deadline, true, id});
   Schedule(one, piece.hedge_at);
   effects_->push_back(send_leaf_effect{
@@ -213,7 +209,8 @@
 bool gateway::WaitForRoom(exchange& one, std::size_t index, time_point now) {
   part& piece = one.parts[index];
   piece.waits_late = now >= one.goal_at;
-  const waiting_key key{piece.waits_late, one.path->rank, one.arrival, index};
+  const waiting_key key{piece.waits_late, one.matched->rank, one.arrival,
+                        index};
   double parallel = 0;
   duration usual = duration::max();
   for (const leaf_candidate& candidate : candidates_) {
@@ -237,7 +234,7 @@
   part& piece = one.parts[index];
   if (piece.state != part::phase::waiting) return;
   piece.service->waiting.erase(
-      {piece.waits_late, one.path->rank, one.arrival, index});
+      {piece.waits_late, one.matched->rank, one.arrival, index});
   piece.state = part::phase::unsent;
 }
 
@@ -246,8 +243,8 @@
   for (std::size_t i = 0; i < one.parts.size(); ++i) {
     part& piece = one.parts[i];
     if (piece.state != part::phase::waiting || piece.waits_late) continue;
-    auto entry =
-        piece.service->waiting.extract({false, one.path->rank, one.arrival, i});
+    auto entry = piece.service->waiting.extract(
+        {false, one.matched->rank, one.arrival, i});
     std::get<0>(entry.value()) = true;
     piece.service->waiting.insert(std::move(entry));
     piece.waits_late = true;
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -30,21 +30,20 @@
 struct gateway::exchange {
   exchange_id id{};
   client_request_ptr request;
-  std::shared_ptr<const routing_config> config;  ///< Keeps `path` alive.
-  const route* path = nullptr;                   ///< Its route.
+  std::shared_ptr<const routing_config> config;  ///< Keeps `matched` alive.
+  const route* matched = nullptr;                ///< Its route.
   std::shared_ptr<route_stats> stats;            ///< Of its route.
   std::uint64_t arrival = 0;                     ///< Order of arrival.
   time_point arrived{};
   time_point goal_at{};
   time_point deadline{};
-  time_point wake = kNever;  ///< Earliest timer that is set.
   std::vector<part> parts;
   std::vector<leaf_call> calls;        ///< In flight.
   bool may_have_run = false;           ///< A leaf may have begun to work on it.
   std::optional<leaf_answer> failure;  ///< Last failure of a leaf, with proof.
 
   bool Idempotent() const {
-    return path != nullptr && path->kind == repeatability::idempotent;
+    return matched != nullptr && matched->kind == repeatability::idempotent;
   }
 };
 
@@ -57,7 +56,6 @@
   time_point deadline{};
   std::shared_ptr<route_stats> stats;
   std::shared_ptr<service_state> service;
-  bool idempotent = false;
 };
 
 /** A service, kept over configurations. */
