Use one type for the limits of clients

http_limits repeated four fields of gateway::client_limits, which the process copied one by one for each configuration. The port now takes client_limits; its bound for peers that stop reading is a constant.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -378,13 +378,7 @@
     }
     Reduce(gateway::config_event{std::move(config)});
   }
-  http_limits limits;
-  const gateway::client_limits& from = core.Limits();
-  limits.header_bytes = from.header_bytes;
-  limits.body_bytes = from.body_bytes;
-  limits.header_timeout = from.header_timeout;
-  limits.idle_timeout = from.idle_timeout;
-  clients.SetLimits(limits);
+  clients.SetLimits(core.Limits());
   CheckReady();
 }
 
--- a/packages/edge/http_port.cpp
+++ b/packages/edge/http_port.cpp
@@ -18,6 +18,7 @@
 #include <utility>
 
 #include "gateway/http_status.h"
+
 namespace corianderrail::edge {
 
 namespace {
@@ -32,6 +33,9 @@
 constexpr int kListenBacklog = 1024;
 constexpr unsigned kHttp10 = 10;
 
+/** Longest time without progress of a peer that reads an answer. */
+constexpr std::chrono::seconds kWriteTimeout{10};
+
 /** Time that a peer has to close after this side did. */
 constexpr std::chrono::seconds kLinger{1};
 
@@ -136,7 +140,7 @@
   tcp::acceptor acceptor;
   std::size_t most_connections;
   http_handler handler;
-  http_limits limits;
+  gateway::client_limits limits;
   http_port_counters counters;
   bool draining = false;
   std::uint64_t next_request = 1;
@@ -343,9 +347,9 @@
 }
 
 void http_port::state::session::Sweep(clock::time_point now) {
-  const http_limits& limits = owner_->limits;
+  const gateway::client_limits& limits = owner_->limits;
   if (writing_) {
-    if (now - since_ > limits.write_timeout) Close();
+    if (now - since_ > kWriteTimeout) Close();
     return;
   }
   if (request_ != 0) return;
@@ -409,7 +413,7 @@
   if (const auto open = found->second.lock()) open->Reply(reply);
 }
 
-void http_port::SetLimits(const http_limits& limits) {
+void http_port::SetLimits(const gateway::client_limits& limits) {
   state_->limits = limits;
 }
 
--- a/packages/edge/http_port.h
+++ b/packages/edge/http_port.h
@@ -14,6 +14,7 @@
 
 #include "core/time_type.h"
 #include "gateway/message_type.h"
+#include "gateway/routing_type.h"
 
 namespace corianderrail::edge {
 
@@ -30,15 +31,6 @@
   std::string body;                           ///< Whole body.
 };
 
-/** Bounds on what one peer may send. */
-struct http_limits {
-  std::size_t header_bytes = 16384;  ///< Request line and fields.
-  std::size_t body_bytes = 262144;   ///< Body.
-  duration header_timeout = std::chrono::seconds(3);  ///< Whole request.
-  duration idle_timeout = std::chrono::seconds(15);   ///< Between requests.
-  duration write_timeout = std::chrono::seconds(10);  ///< Reader that stalls.
-};
-
 /** Counters of a port, all rising except `open`. */
 struct http_port_counters {
   std::uint64_t accepted = 0;   ///< Connections.
@@ -71,7 +63,7 @@
   /** Answers a request; does nothing when its connection is gone. */
   void Reply(request_id request, const http_reply& reply);
 
-  void SetLimits(const http_limits& limits);
+  void SetLimits(const gateway::client_limits& limits);
 
   /** From now on every answer ends its connection. */
   void StartDraining();
--- a/packages/edge/tests/http_port_test.cpp
+++ b/packages/edge/tests/http_port_test.cpp
@@ -137,7 +137,7 @@
 
 // Guards against heads and bodies that fill the memory.
 TEST_CASE_METHOD(port_fixture, "Port_TooLarge_IsRefusedWithItsStatus") {
-  http_limits limits;
+  gateway::client_limits limits;
   limits.header_bytes = 2000;
   limits.body_bytes = 1000;
   port_->SetLimits(limits);
@@ -153,7 +153,7 @@
 
 // Guards against slow heads that hold connections for good.
 TEST_CASE_METHOD(port_fixture, "Port_HeadNeverEnds_ConnectionIsClosed") {
-  http_limits limits;
+  gateway::client_limits limits;
   limits.header_timeout = milliseconds(60);
   port_->SetLimits(limits);
   auto socket = Connect();
--- a/packages/gateway/routing_type.h
+++ b/packages/gateway/routing_type.h
@@ -51,7 +51,7 @@
 struct client_limits {
   std::size_t header_bytes = 16384;  ///< Request line and fields.
   std::size_t body_bytes = 262144;   ///< Body.
-  duration header_timeout = std::chrono::seconds(3);  ///< For a whole head.
+  duration header_timeout = std::chrono::seconds(3);  ///< Whole request.
   duration idle_timeout = std::chrono::seconds(15);   ///< Between requests.
 };
 
