Refuse on arrival what leafs have no room for; keep the queue in the host

Cause: beyond the capacity of the leafs nearly nothing was answered on time. Each host kept up to 12 requests at each leaf, so parts waited at leafs in order of arrival, every query waited until its objective had passed, and leafs worked on parts of queries that were given up.

Change: - leaf_window bounds a host's open requests at a leaf by the wait that answers show; it replaces the bound after refusals. Requests open at the same time are one observation, so a pause of a leaf does not shrink it. - room_queue holds the parts that wait, measures the pace at which they get room, and gives lower ranks one turn in ten. - load_refusal refuses a request on arrival when its objective cannot be met, with a Retry-After that returns clients in order at that pace. - A more urgent part than all that wait may exceed the window by one. - PredictLatency counts rounds from the latency without a queue; the usual latency already has one in it. - answer_kind tells answers of leafs apart in one place, for evidence and for the client; the gateway did so twice, differently.

flood_simulation plays three gateways and 30 leafs in virtual time.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/answer_kind.h"
 #include "gateway/gateway_state.h"
-#include "gateway/http_status.h"
 
 namespace corianderrail::gateway {
 
@@ -15,10 +15,6 @@
 /** Pause between looks at leafs that left or were ejected. */
 constexpr duration kCheckPeriod = std::chrono::milliseconds(100);
 
-/** After its deadline a call is given this time before the connection is
- *  closed, because the leaf's own answer at its limit is evidence. */
-constexpr duration kCallGrace = std::chrono::milliseconds(60);
-
 /**
  * This host's part of the slack of the repeat budget. Half of the slack is
  * shared by the hosts that take clients, a quarter by all others; the rest
@@ -88,27 +84,9 @@
   open_request call = found->second;
   calls_.erase(found);
   leaf_answer& answer = happening.answer;
-  leaf_state* leaf = directory_.Find(call.leaf);
-  const bool success = answer.status >= 200 && answer.status < 300;
-  const bool usable = !answer.proof.empty() && !answer.encoded;
-  if (leaf != nullptr) {
-    if (answer.status == kStatusMisdirected) {
-      leaf->evidence.Forget(happening.call);
-      leaf->replaced = true;
-      LogSuspicion(*leaf, "another leaf answers at its address");
-    } else if (answer.not_run) {
-      ++counters_.leaf_sheds;
-      leaf->evidence.OnShed(happening.call, now);
-    } else if (usable && answer.status < 500) {
-      leaf->evidence.OnAnswer(happening.call, now);
-      if (success && call.stats != nullptr) {
-        call.stats->Add(leaf->record.zone, now - call.sent, now);
-      }
-    } else {
-      ++counters_.leaf_failures;
-      leaf->evidence.OnErrorStatus(happening.call, now);
-      if (leaf->evidence.OnProbation()) LogSuspicion(*leaf, "errors");
-    }
+  const bool ran = !answer.not_run;
+  if (leaf_state* leaf = directory_.Find(call.leaf)) {
+    LearnFrom(*leaf, call, happening.call, answer, now);
   }
   const auto owner = exchanges_.find(call.exchange);
   if (owner != exchanges_.end()) {
@@ -116,9 +94,40 @@
     TakeAnswer(*owner->second, call.part, call, answer, now);
     Advance(call.exchange, now);
   }
+  if (ran) call.service->queue.OnRoom(now);
   ServeWaiting(*call.service, now);
 }
 
+/** Takes an answer as evidence about its leaf. */
+void gateway::LearnFrom(leaf_state& leaf, const open_request& call,
+                        leaf_call id, const leaf_answer& answer,
+                        time_point now) {
+  switch (KindOf(answer)) {
+    case answer_kind::success:
+      if (call.stats != nullptr) {
+        call.stats->Add(leaf.record.zone, now - call.sent, now);
+      }
+      [[fallthrough]];
+    case answer_kind::client_fault:
+      leaf.evidence.OnAnswer(id, now);
+      break;
+    case answer_kind::misdirected:
+      leaf.evidence.Forget(id);
+      leaf.replaced = true;
+      LogSuspicion(leaf, "another leaf answers at its address");
+      break;
+    case answer_kind::not_run:
+      ++counters_.leaf_sheds;
+      leaf.evidence.OnShed(id, now);
+      break;
+    case answer_kind::failed:
+      ++counters_.leaf_failures;
+      leaf.evidence.OnErrorStatus(id, now);
+      if (leaf.evidence.OnProbation()) LogSuspicion(leaf, "errors");
+      break;
+  }
+}
+
 void gateway::On(leaf_failure_event& happening, time_point now) {
   const auto id = static_cast<std::uint64_t>(happening.call);
   const auto found = calls_.find(id);
@@ -247,12 +256,7 @@
     Advance(due.id, now);
     return;
   }
-  const auto found = calls_.find(due.id);
-  if (found == calls_.end()) return;
-  if (now < found->second.deadline + kCallGrace) {
-    timers_.push({found->second.deadline + kCallGrace, true, due.id});
-    return;
-  }
+  if (!calls_.contains(due.id)) return;
   effects_->push_back(cancel_leaf_effect{leaf_call{due.id}});
   leaf_failure_event silent{leaf_call{due.id}, leaf_failure::timed_out};
   On(silent, now);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -7,7 +7,6 @@
 #include <queue>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -16,7 +15,9 @@
 #include "gateway/gateway_type.h"
 #include "gateway/leaf_choice.h"
 #include "gateway/leaf_directory.h"
+#include "gateway/load_refusal.h"
 #include "gateway/repeat_budget.h"
+#include "gateway/room_queue.h"
 #include "gateway/route_stats.h"
 #include "gateway/route_table.h"
 
@@ -69,10 +70,6 @@
   struct open_request;
   struct service_state;
 
-  /** Order of waiting parts: on time or late, rank, arrival, position. */
-  using waiting_key =
-      std::tuple<bool, std::uint32_t, std::uint64_t, std::size_t>;
-
   /** A moment at which something may be due. */
   struct timer {
     time_point at{};       ///< When.
@@ -92,6 +89,8 @@
   void On(fleet_event& happening, time_point now);
   void On(wake_event& happening, time_point now);
   void OnTimer(const timer& due, time_point now);
+  void LearnFrom(leaf_state& leaf, const open_request& call, leaf_call id,
+                 const leaf_answer& answer, time_point now);
   void CheckLeafs(time_point now);
   void LogSuspicion(const leaf_state& leaf, std::string_view reason);
   const std::shared_ptr<service_state>& Service(const std::string& name);
@@ -108,8 +107,11 @@
   void Send(exchange& one, std::size_t index, std::size_t candidate,
             time_point now);
   duration Alternative(std::size_t chosen) const;
+  static waiting_part PlaceInQueue(const exchange& one, std::size_t index);
   bool WaitForRoom(exchange& one, std::size_t index, time_point now);
+  request_room RoomOf(const exchange& one, time_point now);
   void ServeWaiting(service_state& service, time_point now);
+  void ServeOne(const waiting_part& place, time_point now);
   void StopWaiting(exchange& one, std::size_t index);
   void MoveWaitingBack(exchange& one);
   std::uint32_t Limit(const leaf_state& leaf, time_point now) const;
@@ -155,15 +157,16 @@
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
   std::vector<std::uint64_t> unrouted_;  ///< Wait for the first configuration.
   std::uint64_t next_call_ = 1;
-  std::uint64_t next_arrival_ = 1;
   time_point next_check_{};
   gateway_counters counters_;
   answer_stats answers_;
+  return_schedule returns_;
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
   std::vector<leaf_candidate> candidates_;
   std::vector<leaf_state*> candidate_leafs_;
+  std::vector<service_room> rooms_;
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "gateway/answer_kind.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_state.h"
 #include "gateway/http_status.h"
@@ -25,24 +26,6 @@
 
 std::string Micros(duration value) { return std::to_string(value.count()); }
 
-bool IsSuccess(const leaf_answer& answer) {
-  return answer.status >= 200 && answer.status < 300 && !answer.proof.empty() &&
-         !answer.encoded;
-}
-
-/** An answer of the leaf itself that is passed on as it is. */
-bool IsClientFault(const leaf_answer& answer) {
-  if (answer.encoded || answer.status == kStatusMisdirected) {
-    return false;
-  }
-  if (answer.status == kStatusTooManyRequests ||
-      answer.status == kStatusRequestTimeout) {
-    return false;
-  }
-  const bool client_fault = answer.status >= 400 && answer.status < 500;
-  return client_fault && (!answer.proof.empty() || answer.not_run);
-}
-
 answer_outcome OutcomeOf(const client_answer& answer) {
   if (answer.cause != refusal_cause::none) return answer_outcome::refused;
   return answer.missing_parts > 0 ? answer_outcome::partial
@@ -157,6 +140,13 @@
     RefuseFailed(one, refusal_cause::no_leaf, now);
     return false;
   }
+  const request_room room = RoomOf(one, now);
+  const duration usual = one.stats->Late(settings_.here.zone, settings_.here,
+                                         one.matched->goal, now);
+  if (!IsWorthQueueing(room, usual, one.goal_at - now)) {
+    Refuse(one, refusal_cause::overloaded, returns_.Next(room, now), now);
+    return false;
+  }
   for (std::size_t i = 0; i < one.parts.size(); ++i) Place(one, i, now);
   Schedule(one, one.goal_at);
   Schedule(one, one.deadline);
@@ -196,8 +186,10 @@
   part& piece = one.parts[index];
   --piece.open;
   if (piece.state == part::phase::answered) return;
+  const answer_kind kind = KindOf(answer);
   const bool final =
-      IsSuccess(answer) || (!one.matched->Gathers() && IsClientFault(answer));
+      kind == answer_kind::success ||
+      (kind == answer_kind::client_fault && !one.matched->Gathers());
   if (final) {
     StopWaiting(one, index);
     piece.state = part::phase::answered;
@@ -206,12 +198,12 @@
     if (!piece.answer.not_run) one.may_have_run = true;
     return;
   }
-  const bool ran = !answer.not_run && answer.status != kStatusMisdirected;
   // The address belongs to another leaf, so this one was not asked.
-  if (answer.status == kStatusMisdirected) std::erase(piece.asked, call.leaf);
-  const bool keeps = ran && answer.status >= 500 &&
+  if (kind == answer_kind::misdirected) std::erase(piece.asked, call.leaf);
+  const bool keeps = kind == answer_kind::failed && answer.status >= 500 &&
                      answer.status != kStatusUnavailable &&
                      !answer.proof.empty() && !answer.encoded;
+  const bool ran = !answer.not_run && kind != answer_kind::misdirected;
   if (keeps) one.failure = std::move(answer);
   TakeFailure(one, index, ran, now);
 }
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -30,9 +30,19 @@
   return reason == repeat_reason::hedge ? "late" : "failed";
 }
 
+/** After its deadline a call is given this time before the connection is
+ *  closed, because the leaf's own answer at its limit is evidence. */
+constexpr duration kCallGrace = std::chrono::milliseconds(60);
+
+/** Requests beyond the window of a leaf while only less urgent ones wait. */
+constexpr std::uint32_t kUrgentReserve = 1;
+
 /** Waiting parts that are looked at when room becomes free. */
 constexpr std::size_t kMostLooks = 8;
 
+/** Errors of ratios of small numbers stay below this. */
+constexpr double kRounding = 1e-9;
+
 }  // namespace
 
 std::uint32_t gateway::Limit(const leaf_state& leaf, time_point now) const {
@@ -46,8 +56,12 @@
   if (now < started_ + kYoungTime) {
     share = std::max(share / kYoungDivisor, 1u);
   }
-  const double shed = leaf.evidence.ShedLimit(now);
-  return shed < share ? static_cast<std::uint32_t>(shed) : share;
+  // The hosts near a leaf together keep its slots busy.
+  const std::uint32_t hosts = std::max(near_fleet_.near_hosts, 1u);
+  const std::uint32_t least =
+      near ? (leaf.record.slots + hosts - 1) / hosts : 1;
+  const double window = std::max<double>(leaf.evidence.Window(now), least);
+  return window < share ? static_cast<std::uint32_t>(window) : share;
 }
 
 /** Fills candidates_ with the leafs of the part's service. */
@@ -55,6 +69,8 @@
                                 time_point now) {
   candidates_.clear();
   candidate_leafs_.clear();
+  const std::uint32_t reserve =
+      piece.service->queue.IsBefore(one.matched->rank) ? kUrgentReserve : 0;
   for (leaf_state* leaf : directory_.Of(piece.service->name)) {
     leaf_candidate candidate;
     candidate.standing = directory_.Standing(*leaf, now);
@@ -63,12 +79,13 @@
     if (asked) candidate.standing = leaf_standing::unusable;
     candidate.expected = one.stats->Expected(leaf->record.zone, settings_.here,
                                              one.matched->goal, now);
+    candidate.unloaded = one.stats->Unloaded(leaf->record.zone);
     candidate.slowness = leaf->evidence.Slowness(now);
     candidate.failure_rate = leaf->evidence.FailureRate(now);
     // The budget allows few repeats, so most failures cost the whole part.
     candidate.failure_cost = one.matched->goal;
     candidate.open = leaf->evidence.Open();
-    candidate.limit = Limit(*leaf, now);
+    candidate.limit = Limit(*leaf, now) + reserve;
     candidate.slots = leaf->record.slots;
     candidate.cold = now < leaf->cold_until;
     // More work than a leaf answers on time would only queue there; here it
@@ -133,14 +150,16 @@
   const bool may_hedge =
       one.Idempotent() && piece.asked.size() < one.matched->attempts;
   piece.hedge_at = may_hedge ? late_at : kNever;
-  leaf.evidence.OnSent({call, now, inputs.expected, late_at - now});
+  const duration unloaded = one.stats->Unloaded(leaf.record.zone);
+  const duration work = one.stats->Work();
+  leaf.evidence.OnSent(
+      {call, now, inputs.expected, unloaded, work, late_at - now});
 
   one.calls.push_back(call);
   const auto id = static_cast<std::uint64_t>(call);
-  calls_.emplace(
-      id, open_request{static_cast<std::uint64_t>(one.id), index, leaf.handle,
-                       now, one.deadline, one.stats, piece.service});
-  timers_.push({one.deadline, true, id});
+  calls_.emplace(id, open_request{static_cast<std::uint64_t>(one.id), index,
+                                  leaf.handle, now, one.stats, piece.service});
+  timers_.push({one.deadline + kCallGrace, true, id});
   Schedule(one, piece.hedge_at);
   effects_->push_back(send_leaf_effect{
       call, leaf.handle, leaf.record.address, leaf.record.instance, one.request,
@@ -202,6 +221,10 @@
         std::to_string(static_cast<std::uint64_t>(one.config->version))}}});
 }
 
+waiting_part gateway::PlaceInQueue(const exchange& one, std::size_t index) {
+  return {one.parts[index].waits_late, one.matched->rank, one.arrival, index};
+}
+
 /**
  * Queues a part for a leaf with room.
  * @return False when its turn would come too late.
@@ -209,8 +232,7 @@
 bool gateway::WaitForRoom(exchange& one, std::size_t index, time_point now) {
   part& piece = one.parts[index];
   piece.waits_late = now >= one.goal_at;
-  const waiting_key key{piece.waits_late, one.matched->rank, one.arrival,
-                        index};
+  const waiting_part place = PlaceInQueue(one, index);
   double parallel = 0;
   duration usual = duration::max();
   for (const leaf_candidate& candidate : candidates_) {
@@ -218,23 +240,33 @@
     parallel += std::min(candidate.limit, candidate.slots);
     usual = std::min(usual, candidate.expected);
   }
-  const auto ahead = static_cast<double>(std::distance(
-      piece.service->waiting.begin(), piece.service->waiting.lower_bound(key)));
-  const double rounds = 1 + (ahead + 1) / std::max(parallel, 1.0);
-  const duration wait(
-      static_cast<duration::rep>(static_cast<double>(usual.count()) * rounds));
-  if (now + wait > one.deadline) return false;
-  piece.service->waiting.insert(key);
+  room_queue& queue = piece.service->queue;
+  if (now + queue.WaitOf(place, now) + usual > one.deadline) return false;
+  const double interval =
+      static_cast<double>(usual.count()) / std::max(parallel, 1.0);
+  queue.Add(place, duration(static_cast<duration::rep>(interval)), now);
   piece.state = part::phase::waiting;
   ++counters_.queued;
   return true;
 }
 
+/** Room for a request that arrives now. */
+request_room gateway::RoomOf(const exchange& one, time_point now) {
+  rooms_.clear();
+  for (std::size_t i = 0; i < one.parts.size(); ++i) {
+    rooms_.push_back(
+        one.parts[i].service->queue.RoomOf(PlaceInQueue(one, i), now));
+  }
+  const auto shards = static_cast<double>(one.parts.size());
+  const double spare =
+      one.matched->Gathers() ? shards * (1 - one.matched->min_shard_ratio) : 0;
+  return RoomFor(rooms_, static_cast<std::size_t>(spare + kRounding));
+}
+
 void gateway::StopWaiting(exchange& one, std::size_t index) {
   part& piece = one.parts[index];
   if (piece.state != part::phase::waiting) return;
-  piece.service->waiting.erase(
-      {piece.waits_late, one.matched->rank, one.arrival, index});
+  piece.service->queue.Remove(PlaceInQueue(one, index));
   piece.state = part::phase::unsent;
 }
 
@@ -243,37 +275,34 @@
   for (std::size_t i = 0; i < one.parts.size(); ++i) {
     part& piece = one.parts[i];
     if (piece.state != part::phase::waiting || piece.waits_late) continue;
-    auto entry = piece.service->waiting.extract(
-        {false, one.matched->rank, one.arrival, i});
-    std::get<0>(entry.value()) = true;
-    piece.service->waiting.insert(std::move(entry));
+    piece.service->queue.MoveBack(PlaceInQueue(one, i));
     piece.waits_late = true;
   }
 }
 
 /** Gives room that became free to the most urgent parts that wait. */
 void gateway::ServeWaiting(service_state& service, time_point now) {
-  std::size_t looked_at = 0;
-  auto next = service.waiting.begin();
-  while (next != service.waiting.end() && looked_at < kMostLooks) {
-    const waiting_key key = *next;
-    const auto [late, rank, arrival, index] = key;
-    const auto found = exchanges_.find(arrival);
-    if (found == exchanges_.end()) {
-      next = service.waiting.erase(next);
-      continue;
-    }
-    ++looked_at;
-    exchange& one = *found->second;
-    StopWaiting(one, index);
-    Place(one, index, now);
-    const bool waits = one.parts[index].state == part::phase::waiting;
-    // An answer may take other parts of the query off this queue.
-    if (!waits) Advance(arrival, now);
-    next = service.waiting.upper_bound(key);
+  room_queue& queue = service.queue;
+  if (const auto floor = queue.FloorTurn()) ServeOne(*floor, now);
+  auto next = queue.First();
+  for (std::size_t looks = 0; next && looks < kMostLooks; ++looks) {
+    ServeOne(*next, now);
+    next = queue.After(*next);
   }
 }
 
+/** Gives a waiting part room, if there is any. */
+void gateway::ServeOne(const waiting_part& place, time_point now) {
+  const auto found = exchanges_.find(place.exchange);
+  if (found == exchanges_.end()) return;
+  exchange& one = *found->second;
+  StopWaiting(one, place.part);
+  Place(one, place.part, now);
+  const bool waits = one.parts[place.part].state == part::phase::waiting;
+  // An answer may take other parts of the query off this queue.
+  if (!waits) Advance(place.exchange, now);
+}
+
 void gateway::CancelCalls(exchange& one) {
   for (const leaf_call call : one.calls) {
     const auto found = calls_.find(static_cast<std::uint64_t>(call));
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -4,11 +4,11 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "gateway/gateway.h"
+#include "gateway/room_queue.h"
 
 namespace corianderrail::gateway {
 
@@ -53,7 +53,6 @@
   std::size_t part = 0;
   leaf_handle leaf{};
   time_point sent{};
-  time_point deadline{};
   std::shared_ptr<route_stats> stats;
   std::shared_ptr<service_state> service;
 };
@@ -66,7 +65,7 @@
   std::string name;
   std::uint32_t max_connections = 0;
   repeat_budget budget;
-  std::set<waiting_key> waiting;  ///< Parts that wait for room.
+  room_queue queue;  ///< Parts that wait for room.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/leaf_choice.cpp
+++ b/packages/gateway/leaf_choice.cpp
@@ -23,8 +23,14 @@
 duration PredictLatency(const leaf_candidate& candidate) {
   const double slots = std::max<std::uint32_t>(candidate.slots, 1);
   const double rounds = std::max(1.0, (candidate.open + 1) / slots);
-  double latency = static_cast<double>(candidate.expected.count()) *
-                   std::max(candidate.slowness, 0.5) * rounds;
+  // The usual latency has the usual queue in it; more rounds than that are
+  // counted from the latency without a queue.
+  const auto usual = static_cast<double>(candidate.expected.count());
+  const double unloaded = candidate.unloaded == duration{}
+                              ? usual
+                              : static_cast<double>(candidate.unloaded.count());
+  double latency =
+      std::max(usual, unloaded * rounds) * std::max(candidate.slowness, 0.5);
   if (candidate.cold) latency *= kColdFactor;
   return duration(static_cast<duration::rep>(latency));
 }
--- a/packages/gateway/leaf_choice.h
+++ b/packages/gateway/leaf_choice.h
@@ -22,6 +22,7 @@
 struct leaf_candidate {
   leaf_standing standing = leaf_standing::sound;
   duration expected{};      ///< Usual latency at its distance.
+  duration unloaded{};      ///< The same without a queue; 0 while unknown.
   double slowness = 1;      ///< Its latency relative to the usual one.
   double failure_rate = 0;  ///< Share of recent requests that failed.
   duration failure_cost{};  ///< What a failure costs, as a latency.
--- a/packages/gateway/leaf_evidence.cpp
+++ b/packages/gateway/leaf_evidence.cpp
@@ -32,9 +32,6 @@
 constexpr duration kFirstBackoff = std::chrono::milliseconds(400);
 constexpr duration kLongestBackoff = std::chrono::seconds(3);
 
-/** Time in which a leaf that refused work gains one open request. */
-constexpr duration kShedRecovery = std::chrono::milliseconds(250);
-
 double Decay(duration passed, duration memory) {
   return std::exp(-static_cast<double>(passed.count()) /
                   static_cast<double>(memory.count()));
@@ -60,6 +57,7 @@
 }
 
 void leaf_evidence::OnAnswer(leaf_call call, time_point now) {
+  const std::uint32_t open = Open();
   open_call taken;
   if (!Take(call, taken)) return;
   last_answer_ = now;
@@ -68,6 +66,7 @@
   ejected_until_ = {};
   failure_rate_ = FailureRate(now) * (1 - kFailureWeight);
   failure_at_ = now;
+  window_.OnAnswer({now - taken.sent, taken.unloaded, taken.work, open}, now);
   const double expected =
       std::max<double>(1, static_cast<double>(taken.expected.count()));
   const double sample =
@@ -85,13 +84,12 @@
 }
 
 void leaf_evidence::OnShed(leaf_call call, time_point now) {
-  const double open = Open();
+  const std::uint32_t open = Open();
   open_call taken;
   if (!Take(call, taken)) return;
   last_answer_ = now;
   CountFailure(now);
-  shed_limit_ = std::max(1.0, std::min(ShedLimit(now), open) / 2);
-  shed_at_ = now;
+  window_.OnRefusal(open, now);
 }
 
 void leaf_evidence::OnFailure(leaf_call call, leaf_failure failure,
@@ -156,14 +154,4 @@
   });
 }
 
-double leaf_evidence::ShedLimit(time_point now) const {
-  constexpr double kUnlimited = 1e9;
-  if (shed_limit_ == 0) return kUnlimited;
-  const double gained = static_cast<double>((now - shed_at_).count()) /
-                        static_cast<double>(kShedRecovery.count());
-  // After some seconds without a refusal the limit means nothing any more.
-  if (gained > 20) return kUnlimited;
-  return shed_limit_ + gained;
-}
-
 }  // namespace corianderrail::gateway
--- a/packages/gateway/leaf_evidence.h
+++ b/packages/gateway/leaf_evidence.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/time_type.h"
+#include "gateway/leaf_window.h"
 #include "gateway/message_type.h"
 
 namespace corianderrail::gateway {
@@ -15,6 +16,8 @@
   leaf_call call{};          ///< The request.
   time_point sent{};         ///< When it was given to the connection.
   duration expected{};       ///< Usual latency of such a request.
+  duration unloaded{};       ///< The same while leafs have no queue.
+  duration work{};           ///< Part of it that the leaf works.
   duration suspect_after{};  ///< Later than this, the leaf is slow.
 };
 
@@ -66,8 +69,8 @@
   /** True until a new connection shows that something listens there. */
   bool OnProbation() const { return streak_ >= kStreakToEject; }
 
-  /** Requests that the leaf may have open after it refused some. */
-  double ShedLimit(time_point now) const;
+  /** Most requests that this host may have open there. */
+  double Window(time_point now) const { return window_.Limit(now); }
 
  private:
   /** Failures in a row that eject a leaf. */
@@ -83,8 +86,7 @@
   time_point slowness_at_{};
   double failure_rate_ = 0;  ///< At failure_at_.
   time_point failure_at_{};
-  double shed_limit_ = 0;  ///< At shed_at_; 0 means none.
-  time_point shed_at_{};
+  leaf_window window_;
   time_point last_answer_{};  ///< Last sign of progress.
   time_point last_late_{};    ///< Last answer that was counted as late.
   std::uint32_t streak_ = 0;  ///< Failures since the last answer.
--- /dev/null
+++ b/packages/gateway/leaf_window.cpp
@@ -0,0 +1,80 @@
+/**
+ * @file leaf_window.cpp Shrinking by queueing delay and by refusals.
+ *
+ * Answers floods and leafs that all turned slow. A queue at a leaf is served
+ * in order of arrival and holds work of all hosts, so urgent requests wait
+ * behind others there. With a short queue at the leaf, requests wait in the
+ * hosts, where they are ordered by rank and refused in time.
+ */
+
+#include "gateway/leaf_window.h"
+
+#include <algorithm>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** Weight of one answer in the averages. */
+constexpr double kSampleWeight = 0.3;
+
+/** Average wait at which the leaf has a queue, as a multiple of its work. One
+ *  request in work and one waiting behind each slot keep a leaf busy. */
+constexpr double kMostDelay = 1.5;
+
+/** Longer waits count as this multiple of the work: a pause of the leaf, not
+ *  its queue. */
+constexpr double kLongestDelay = 4;
+
+/** The window shrinks to this part of the open requests. */
+constexpr double kQueueFactor = 0.75;
+constexpr double kRefusalFactor = 0.5;
+
+/** Time in which the window grows by one request. */
+constexpr duration kGrowth = std::chrono::milliseconds(250);
+
+/** The bound ends when the window has grown by this much. */
+constexpr double kMostGrowth = 20;
+
+/** Less than one: the leaf gets a request now and then. */
+constexpr double kLeast = 0.25;
+
+constexpr double kUnlimited = 1e9;
+
+double Ratio(duration part, duration whole) {
+  return static_cast<double>(part.count()) /
+         static_cast<double>(std::max<duration::rep>(whole.count(), 1));
+}
+
+}  // namespace
+
+void leaf_window::OnAnswer(const window_sample& sample, time_point now) {
+  // Requests that were open at the same time waited in the same queue, or
+  // behind the same pause of the leaf: they are one observation.
+  if (now - sample.latency < observed_at_) return;
+  observed_at_ = now;
+  const auto work = static_cast<double>(sample.work.count());
+  work_us_ += kSampleWeight * (work - work_us_);
+  const auto waited = static_cast<double>(
+      std::max(duration{}, sample.latency - sample.unloaded).count());
+  const double counted = std::min(waited, kLongestDelay * work_us_);
+  delay_us_ += kSampleWeight * (counted - delay_us_);
+  if (delay_us_ > kMostDelay * work_us_) Shrink(sample.open, kQueueFactor, now);
+}
+
+void leaf_window::OnRefusal(std::uint32_t open, time_point now) {
+  Shrink(open, kRefusalFactor, now);
+}
+
+void leaf_window::Shrink(std::uint32_t open, double factor, time_point now) {
+  limit_ = std::max(kLeast, std::min<double>(Limit(now), open) * factor);
+  shrunk_at_ = now;
+}
+
+double leaf_window::Limit(time_point now) const {
+  if (limit_ == 0) return kUnlimited;
+  const double gained = Ratio(now - shrunk_at_, kGrowth);
+  return gained > kMostGrowth ? kUnlimited : limit_ + gained;
+}
+
+}  // namespace corianderrail::gateway
--- a/packages/gateway/route_stats.cpp
+++ b/packages/gateway/route_stats.cpp
@@ -22,6 +22,10 @@
 /** Quantile from which an answer is late enough for a second request. */
 constexpr double kLateQuantile = 0.9;
 
+/** The unloaded latency rises by this part of itself in this time at most. */
+constexpr duration kRisePeriod = std::chrono::seconds(1);
+constexpr int kRisePart = 20;
+
 duration Extra(std::string_view zone, const location& here) {
   if (zone == here.zone) return {};
   return here.SameRegion(zone) ? kOtherZone : kOtherRegion;
@@ -38,17 +42,46 @@
 void route_stats::Add(std::string_view zone, duration latency, time_point now) {
   auto found = by_zone_.find(zone);
   if (found == by_zone_.end()) {
-    found = by_zone_.emplace(zone, latency_digest()).first;
-    found->second.SetTailQuantile(kLateQuantile);
+    found = by_zone_.emplace(zone, zone_stats()).first;
+    found->second.recent.SetTailQuantile(kLateQuantile);
+  }
+  found->second.recent.Add(latency, now);
+  if (found->second.recent.Learned(now)) TrackUnloaded(found->second, now);
+}
+
+/** Follows the median down at once and up slowly: a queue is gone after some
+ *  seconds, leafs that became slower for good stay so. */
+void route_stats::TrackUnloaded(zone_stats& one, time_point now) {
+  const duration median = one.recent.Median();
+  if (one.unloaded == duration{} || median <= one.unloaded) {
+    one.unloaded = median;
+    one.risen_at = now;
+    return;
+  }
+  if (now - one.risen_at < kRisePeriod) return;
+  one.risen_at = now;
+  one.unloaded = std::min(median, one.unloaded + one.unloaded / kRisePart);
+}
+
+duration route_stats::Unloaded(std::string_view zone) const {
+  const auto found = by_zone_.find(zone);
+  return found == by_zone_.end() ? duration{} : found->second.unloaded;
+}
+
+duration route_stats::Work() const {
+  duration least = duration::max();
+  for (const auto& [zone, one] : by_zone_) {
+    if (one.unloaded > duration{}) least = std::min(least, one.unloaded);
   }
-  found->second.Add(latency, now);
+  return least == duration::max() ? duration{} : least;
 }
 
 const latency_digest* route_stats::Learned(std::string_view zone,
                                            time_point now) const {
   const auto found = by_zone_.find(zone);
-  if (found == by_zone_.end() || !found->second.Learned(now)) return nullptr;
-  return &found->second;
+  if (found == by_zone_.end()) return nullptr;
+  const latency_digest& recent = found->second.recent;
+  return recent.Learned(now) ? &recent : nullptr;
 }
 
 duration route_stats::Expected(std::string_view zone, const location& here,
--- a/packages/gateway/route_stats.h
+++ b/packages/gateway/route_stats.h
@@ -36,12 +36,26 @@
   duration Late(std::string_view zone, const location& here, duration goal,
                 time_point now) const;
 
+  /** Latency from `zone` while leafs have no queue; 0 while unknown. */
+  duration Unloaded(std::string_view zone) const;
+
+  /** What a leaf works for one request; 0 while unknown. */
+  duration Work() const;
+
   split_turn turn;  ///< Which service is next.
 
  private:
+  /** Latencies of one zone. */
+  struct zone_stats {
+    latency_digest recent;  ///< As they are, with queues.
+    duration unloaded{};    ///< Least median; rises slowly.
+    time_point risen_at{};  ///< When `unloaded` was last raised.
+  };
+
   const latency_digest* Learned(std::string_view zone, time_point now) const;
+  static void TrackUnloaded(zone_stats& one, time_point now);
 
-  std::map<std::string, latency_digest, std::less<>> by_zone_;
+  std::map<std::string, zone_stats, std::less<>> by_zone_;
 };
 
 }  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/tests/flood_simulation.cpp
@@ -0,0 +1,363 @@
+/** @file flood_simulation.cpp Events of clients, gateways and leafs. */
+
+#include "flood_simulation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+using std::chrono::seconds;
+
+std::string ZoneName(std::uint32_t zone) { return "z" + std::to_string(zone); }
+
+double Seconds(duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+}  // namespace
+
+duration flood_result::Percentile(double share) {
+  if (times.empty()) return {};
+  std::sort(times.begin(), times.end());
+  const auto index =
+      static_cast<std::size_t>(share * static_cast<double>(times.size()));
+  return times[std::min(index, times.size() - 1)];
+}
+
+/** A request at a leaf. */
+struct flood_simulation::leaf {
+  /** One request with where its answer goes. */
+  struct job {
+    std::size_t host = 0;
+    leaf_call call{};
+    std::size_t kind = 0;
+    std::string attempt;
+    time_point stop_at{};  ///< The leaf drops it then.
+  };
+  leaf_record record;
+  std::uint32_t running = 0;
+  std::deque<job> waiting;
+  std::vector<std::pair<std::size_t, leaf_call>> at_work;
+};
+
+struct flood_simulation::host {
+  std::unique_ptr<gateway> core;
+  std::string zone;
+  time_point wakes_at = kNever;
+  std::vector<event> posted;
+  bool reducing = false;
+  std::map<leaf_call, std::string> leafs;  ///< Instance of each open call.
+};
+
+/** A client's attempt that is not answered yet. */
+struct flood_simulation::attempt {
+  std::size_t kind = 0;
+  std::size_t host = 0;
+  time_point began{};    ///< First attempt of the client.
+  time_point arrived{};  ///< This attempt.
+  bool again = false;    ///< It came back after a refusal.
+};
+
+flood_simulation::flood_simulation(flood_setup setup, std::uint64_t seed)
+    : setup_(std::move(setup)), random_(seed) {
+  BuildHosts();
+  BuildLeafs();
+  RunUntil(now_ + seconds(6));  // Hosts hold few connections at first.
+}
+
+flood_simulation::~flood_simulation() = default;
+
+std::shared_ptr<routing_config> flood_simulation::Config() const {
+  auto config = std::make_shared<routing_config>();
+  config->version = config_version{1};
+  for (const flood_kind& kind : setup_.kinds) {
+    route one;
+    one.name = kind.name;
+    one.host = "h";
+    one.prefix = "/" + kind.name + "/";
+    one.kind = repeatability::idempotent;
+    one.timeout = kind.time_limit;
+    one.goal = kind.goal;
+    one.rank = kind.rank;
+    one.attempts = 3;
+    if (kind.min_shard_ratio > 0) {
+      one.shards = kind.services;
+      one.top_records = 10;
+      one.min_shard_ratio = kind.min_shard_ratio;
+    } else {
+      one.targets = {{kind.services.front(), 1}};
+    }
+    for (const std::string& service : kind.services) {
+      config->services.push_back({service, setup_.max_connections});
+    }
+    config->routes.push_back(std::move(one));
+  }
+  return config;
+}
+
+void flood_simulation::BuildHosts() {
+  gateway_settings settings;
+  for (std::uint32_t zone = 0; zone < setup_.zones; ++zone) {
+    settings.here.regions[ZoneName(zone)] = ZoneName(zone);
+  }
+  settings.repeats = {0.2, 52, seconds(10)};
+  const std::uint32_t near = std::max(setup_.hosts / setup_.zones, 1u);
+  const std::uint32_t far = setup_.hosts - near;
+  for (std::uint32_t i = 0; i < setup_.hosts; ++i) {
+    auto fresh = std::make_unique<host>();
+    fresh->zone = ZoneName(i % setup_.zones);
+    settings.here.zone = fresh->zone;
+    settings.here.region = fresh->zone;
+    fresh->core = std::make_unique<gateway>(settings);
+    hosts_.push_back(std::move(fresh));
+    Reduce(i, fleet_event{
+                  setup_.hosts, setup_.hosts, true, {near, far}, {near, far}});
+    Reduce(i, config_event{Config()});
+  }
+}
+
+void flood_simulation::BuildLeafs() {
+  std::vector<registry_change> changes;
+  std::uint64_t revision = 0;
+  for (const flood_kind& kind : setup_.kinds) {
+    for (const std::string& service : kind.services) {
+      for (std::uint32_t zone = 0; zone < setup_.zones; ++zone) {
+        auto fresh = std::make_unique<leaf>();
+        fresh->record.instance = service + "@" + ZoneName(zone);
+        fresh->record.service = service;
+        fresh->record.address = "10.0.0.1:1";
+        fresh->record.zone = ZoneName(zone);
+        fresh->record.slots = setup_.slots;
+        const std::string instance = fresh->record.instance;
+        if (leafs_.contains(instance)) continue;
+        changes.push_back({instance, ++revision, fresh->record, false});
+        leafs_.emplace(instance, std::move(fresh));
+      }
+    }
+  }
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    Reduce(i, registry_event{changes, true});
+  }
+}
+
+void flood_simulation::At(time_point when, action run) {
+  plan_.push({when, ++order_, std::move(run)});
+}
+
+void flood_simulation::RunUntil(time_point end) {
+  while (!plan_.empty() && plan_.top().at <= end) {
+    now_ = std::max(now_, plan_.top().at);
+    const action run = plan_.top().run;
+    plan_.pop();
+    run();
+  }
+  now_ = end;
+}
+
+std::vector<flood_result> flood_simulation::Run(
+    const std::vector<double>& factors, duration warm_up, duration length) {
+  results_.assign(setup_.kinds.size(), {});
+  counts_from_ = now_ + warm_up;
+  const time_point end = counts_from_ + length;
+  for (std::size_t kind = 0; kind < setup_.kinds.size(); ++kind) {
+    const double rate = setup_.kinds[kind].per_second * factors[kind];
+    if (rate > 0) PlanArrival(kind, rate, end);
+  }
+  RunUntil(end + seconds(4));
+  return results_;
+}
+
+/** Clients arrive independently of each other. */
+void flood_simulation::PlanArrival(std::size_t kind, double per_second,
+                                   time_point end) {
+  const double uniform = (random_.Below(1'000'000) + 1) / 1e6;
+  const duration pause(
+      static_cast<duration::rep>(-std::log(uniform) / per_second * 1e6));
+  const time_point when = now_ + pause;
+  if (when >= end) return;
+  At(when, [this, kind, per_second, end] {
+    Arrive(kind, now_, false);
+    PlanArrival(kind, per_second, end);
+  });
+}
+
+void flood_simulation::Arrive(std::size_t kind, time_point began, bool again) {
+  const flood_kind& what = setup_.kinds[kind];
+  const std::uint64_t id = ++attempts_;
+  const std::size_t host = random_.Below(hosts_.size());
+  open_[id] = {kind, host, began, now_, again};
+  if (!again && began >= counts_from_) ++results_[kind].offered;
+  auto request = std::make_shared<client_request>();
+  request->attempt = std::to_string(kind) + "-" + std::to_string(id);
+  request->method = "GET";
+  request->host = "h";
+  request->path = "/" + what.name + "/x";
+  request->target = request->path;
+  request->time_left = what.time_limit - (now_ - began);
+  Reduce(host, request_event{exchange_id{id}, request});
+}
+
+void flood_simulation::Reduce(std::size_t index, event happening) {
+  host& one = *hosts_[index];
+  one.posted.push_back(std::move(happening));
+  if (one.reducing) return;
+  one.reducing = true;
+  while (!one.posted.empty()) {
+    const std::vector<event> batch = std::exchange(one.posted, {});
+    for (const event& next : batch) {
+      effect_list effects;
+      one.core->Reduce(next, now_, effects);
+      for (effect& each : effects) {
+        std::visit([&](auto& e) { Take(index, e); }, each);
+      }
+    }
+  }
+  one.reducing = false;
+  WakeLater(index);
+}
+
+void flood_simulation::WakeLater(std::size_t index) {
+  host& one = *hosts_[index];
+  const time_point next = one.core->NextWake();
+  if (next >= one.wakes_at) return;
+  one.wakes_at = next;
+  At(next, [this, index, next] {
+    host& woken = *hosts_[index];
+    if (woken.wakes_at != next) return;
+    woken.wakes_at = kNever;
+    Reduce(index, wake_event{});
+  });
+}
+
+duration flood_simulation::Distance(const host& from, const leaf& to) const {
+  return from.zone == to.record.zone ? setup_.near_one_way : setup_.one_way;
+}
+
+/** Between half and one and a half times the mean. */
+duration flood_simulation::Work(std::size_t kind) {
+  const auto mean = static_cast<std::uint64_t>(setup_.kinds[kind].work.count());
+  return duration(static_cast<duration::rep>(mean / 2 + random_.Below(mean)));
+}
+
+void flood_simulation::Take(std::size_t index, send_leaf_effect& effect) {
+  host& from = *hosts_[index];
+  leaf& to = *leafs_.at(effect.instance);
+  from.leafs[effect.call] = effect.instance;
+  leaf::job job;
+  job.host = index;
+  job.call = effect.call;
+  job.attempt = effect.request->attempt;
+  job.kind = std::stoul(job.attempt);
+  const duration way = Distance(from, to);
+  job.stop_at = now_ + effect.time_left;
+  At(now_ + way, [this, &to, job, way] {
+    if (to.running >= setup_.slots && to.waiting.size() >= setup_.queue) {
+      leaf_answer refusal;
+      refusal.status = 503;
+      refusal.not_run = true;
+      At(now_ + way, [this, job, refusal] {
+        Reduce(job.host, leaf_answer_event{job.call, refusal});
+      });
+      return;
+    }
+    to.waiting.push_back(job);
+    StartWork(to);
+  });
+}
+
+void flood_simulation::StartWork(leaf& one) {
+  while (one.running < setup_.slots && !one.waiting.empty()) {
+    const leaf::job job = one.waiting.front();
+    one.waiting.pop_front();
+    if (now_ >= job.stop_at) continue;
+    ++one.running;
+    one.at_work.emplace_back(job.host, job.call);
+    At(now_ + Work(job.kind), [this, &one, job] {
+      const auto found = std::find(one.at_work.begin(), one.at_work.end(),
+                                   std::pair(job.host, job.call));
+      if (found == one.at_work.end()) return;  // It was cancelled.
+      one.at_work.erase(found);
+      --one.running;
+      leaf_answer answer;
+      answer.status = 200;
+      answer.proof = one.record.instance + "/" + job.attempt;
+      answer.body = std::string(16, 'r');
+      const duration way = Distance(*hosts_[job.host], one);
+      At(now_ + way, [this, job, answer] {
+        Reduce(job.host, leaf_answer_event{job.call, answer});
+      });
+      StartWork(one);
+    });
+  }
+}
+
+void flood_simulation::Take(std::size_t index, cancel_leaf_effect& effect) {
+  host& from = *hosts_[index];
+  const auto found = from.leafs.find(effect.call);
+  if (found == from.leafs.end()) return;
+  leaf& to = *leafs_.at(found->second);
+  At(now_ + Distance(from, to), [this, &to, index, call = effect.call] {
+    std::erase_if(to.waiting, [&](const leaf::job& job) {
+      return job.host == index && job.call == call;
+    });
+    if (std::erase(to.at_work, std::pair(index, call)) > 0) {
+      --to.running;
+      StartWork(to);
+    }
+  });
+}
+
+void flood_simulation::Take(std::size_t index, connect_leaf_effect& effect) {
+  At(now_ + setup_.one_way, [this, index, leaf = effect.leaf] {
+    Reduce(index, leaf_connected_event{leaf, true});
+  });
+}
+
+void flood_simulation::Take(std::size_t, answer_effect& effect) {
+  const auto found = open_.find(static_cast<std::uint64_t>(effect.exchange));
+  if (found == open_.end()) return;
+  const attempt one = found->second;
+  open_.erase(found);
+  const flood_kind& kind = setup_.kinds[one.kind];
+  const bool counts = one.began >= counts_from_;
+  flood_result& result = results_[one.kind];
+  const client_answer& answer = effect.answer;
+  if (answer.status == 200) {
+    if (!counts) return;
+    const duration taken = now_ - one.arrived;
+    result.times.push_back(taken);
+    const auto shards = static_cast<double>(kind.services.size());
+    const double covered = 1 - answer.missing_parts / shards;
+    if (taken <= kind.goal) result.on_time += covered * covered;
+    return;
+  }
+  if (counts) result.refusal_times.push_back(now_ - one.arrived);
+  const duration left = kind.time_limit - (now_ - one.began);
+  const duration pause =
+      std::min(answer.retry_after.value_or(duration{}), left / 3);
+  if (!one.again && left > duration{}) {
+    At(now_ + pause, [this, kind = one.kind, began = one.began] {
+      Arrive(kind, began, true);
+    });
+    return;
+  }
+  if (counts) ++result.refused;
+}
+
+double flood_simulation::Capacity(std::size_t kind) const {
+  return setup_.zones * setup_.slots / Seconds(setup_.kinds[kind].work);
+}
+
+double flood_simulation::Goodput(const std::vector<flood_result>& results,
+                                 duration length) const {
+  double used = 0;
+  for (std::size_t kind = 0; kind < results.size(); ++kind) {
+    used += results[kind].on_time / Capacity(kind);
+  }
+  return used / Seconds(length);
+}
+
+}  // namespace corianderrail::gateway
--- a/packages/gateway/tests/placing_topics_test.cpp
+++ b/packages/gateway/tests/placing_topics_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <vector>
 
+#include "gateway/answer_kind.h"
 #include "gateway/answer_stats.h"
 #include "gateway/answer_timing.h"
 #include "gateway/hedge_timing.h"
@@ -38,7 +39,14 @@
  public:
   leaf_call Send(duration suspect_after = milliseconds(30)) {
     const leaf_call call{++calls_};
-    evidence_.OnSent({call, now_, milliseconds(10), suspect_after});
+    open_call open;
+    open.call = call;
+    open.sent = now_;
+    open.expected = milliseconds(10);
+    open.unloaded = milliseconds(10);
+    open.work = milliseconds(10);
+    open.suspect_after = suspect_after;
+    evidence_.OnSent(open);
     return call;
   }
   void Answer(duration latency) {
@@ -55,6 +63,37 @@
 
 }  // namespace
 
+// Guards against a refusal that is taken for a request that ran.
+TEST_CASE("Answer_AnyStatus_IsToldApart") {
+  struct sample {
+    int status;
+    const char* proof;
+    bool not_run;
+    answer_kind kind;
+  };
+  const std::vector<sample> samples = {
+      {200, "p", false, answer_kind::success},
+      {200, "", false, answer_kind::failed},
+      {404, "p", false, answer_kind::client_fault},
+      {404, "", false, answer_kind::failed},
+      {400, "", true, answer_kind::client_fault},
+      {421, "", false, answer_kind::misdirected},
+      {429, "", true, answer_kind::not_run},
+      {429, "p", false, answer_kind::failed},
+      {503, "", true, answer_kind::not_run},
+      {503, "", false, answer_kind::failed},
+      {500, "p", false, answer_kind::failed},
+  };
+  for (const sample& one : samples) {
+    leaf_answer answer;
+    answer.status = one.status;
+    answer.proof = one.proof;
+    answer.not_run = one.not_run;
+    INFO(one.status << one.proof << one.not_run);
+    CHECK(KindOf(answer) == one.kind);
+  }
+}
+
 // Guards against far leafs while the near one is fine.
 TEST_CASE("Choice_AllSound_TakesTheNearest") {
   const std::vector<leaf_candidate> leafs = {Candidate(milliseconds(50)),
@@ -131,7 +170,7 @@
     Answer(milliseconds(10));
   }
   CHECK(evidence_.FailureRate(now_) > 0.3);
-  CHECK(evidence_.ShedLimit(now_) < 3);
+  CHECK(evidence_.Window(now_) < 3);
   CHECK_FALSE(evidence_.OnProbation());
 }
 
