Reload settings in a running process, and notice suspended hosts

Cause: a changed settings file took effect only at the next start, so a host whose seeds were all replaced stayed alone; a change without SIGHUP went unnoticed. The reducers' clock stopped while a host was suspended, so items of other hosts and watches seemed recent afterwards.

--- a/packages/core/membership.cpp
+++ b/packages/core/membership.cpp
@@ -28,14 +28,22 @@
 membership::membership(member_record self, membership_settings settings,
                        std::uint64_t seed)
     : self_(std::move(self)), settings_(std::move(settings)), random_(seed) {
-  for (const std::string& seed_address : settings_.seeds) AddHint(seed_address);
-  for (const auto& [host, address] : hints_) seeds_.push_back(address);
+  SetSeeds(settings_.seeds);
 }
 
-void membership::AddHint(const std::string& address) {
+void membership::SetSeeds(std::span<const std::string> seeds) {
+  seeds_.clear();
+  for (const std::string& seed : seeds) {
+    if (!AddHint(seed)) continue;
+    seeds_.push_back(seed);
+  }
+}
+
+bool membership::AddHint(const std::string& address) {
   const host_id host = HostIdOf(address);
-  if (host == self_.ref.host || address == self_.peer_address) return;
+  if (host == self_.ref.host || address == self_.peer_address) return false;
   hints_[host] = address;
+  return true;
 }
 
 void membership::Start(time_point now, effect_list& effects) {
--- a/packages/core/membership.h
+++ b/packages/core/membership.h
@@ -59,6 +59,9 @@
   void SetRevision(revision_id revision);
   void SetLeaving();
 
+  /** Replaces the seeds; hosts that are known stay known. */
+  void SetSeeds(std::span<const std::string> seeds);
+
   /** Forgets probes in flight and asks all members anew after a pause. */
   void OnClockGap(time_point now, effect_list& effects);
 
@@ -110,7 +113,7 @@
   void SelfChanged();
   void SendSync(host_id host, const std::string& address, bool want_reply,
                 bool whole, effect_list& effects);
-  void AddHint(const std::string& address);
+  bool AddHint(const std::string& address);
 
   // membership_probe.cpp
   void SendProbe(const member_entry& target, bool accuses, time_point now,
--- a/packages/core/tests/membership_fleet_test.cpp
+++ b/packages/core/tests/membership_fleet_test.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
 
 #include "support/fleet_host.h"
 
@@ -216,5 +220,35 @@
   CHECK(fleet.At(0).members.Confirmed());
 }
 
+// Guards against a host whose seeds are all replaced and that stays alone
+// until it is restarted.
+TEST_CASE("Membership_SeedsReplacedWhileAlone_AsksTheNewOnes") {
+  member_record self;
+  self.peer_address = "10.0.0.1:1";
+  self.ref = {HostIdOf(self.peer_address), {}};
+  membership_settings settings;
+  settings.seeds = {"10.0.0.2:1"};
+  membership members(self, settings, 9);
+  effect_list effects;
+  time_point now{seconds(50)};
+  members.Start(now, effects);
+  const std::vector<std::string> fresh = {"10.0.0.3:1", self.peer_address};
+  members.SetSeeds(fresh);
+  std::set<std::string> asked;
+  const time_point end = now + seconds(30);
+  while (now < end) {
+    effects.clear();
+    now = std::max(now + milliseconds(1), members.NextWake());
+    members.OnTick(now, effects);
+    for (const effect& one : effects) {
+      if (const auto* send = std::get_if<send_peer_effect>(&one)) {
+        asked.insert(send->address);
+      }
+    }
+  }
+  CHECK(asked.contains("10.0.0.3:1"));
+  CHECK_FALSE(asked.contains(self.peer_address));
+}
+
 }  // namespace
 }  // namespace corianderrail
--- /dev/null
+++ b/packages/edge/edge_handlers.cpp
@@ -0,0 +1,106 @@
+/** @file edge_handlers.cpp Requests to the four HTTP ports. */
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "edge/edge_metrics.h"
+#include "edge/edge_state.h"
+#include "edge/process_time.h"
+#include "gateway/http_status.h"
+#include "platform/message_codec.h"
+#include "platform/wire_names.h"
+
+namespace corianderrail::edge {
+
+namespace {
+
+/** Most addresses that a client reads from an answer. */
+constexpr std::size_t kMostEntries = 64;
+
+}  // namespace
+
+http_handler edge_process::state::ClientHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&& request) {
+    stop.last_request = Now();
+    auto decoded = std::make_shared<gateway::client_request>(
+        platform::DecodeRequest(std::move(request)));
+    Reduce(gateway::request_event{
+        gateway::exchange_id{static_cast<std::uint64_t>(id)},
+        std::move(decoded)});
+  };
+  handler.on_gone = [this](request_id id) {
+    Reduce(gateway::client_gone_event{
+        gateway::exchange_id{static_cast<std::uint64_t>(id)}});
+  };
+  return handler;
+}
+
+http_handler edge_process::state::ReadyHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&& request) {
+    const std::string target(request.target());
+    const bool known = target == platform::kReadyPath;
+    const int status = !known  ? gateway::kStatusNotFound
+                       : ready ? gateway::kStatusOk
+                               : gateway::kStatusUnavailable;
+    ready_port.Reply(id, {status, {}, {}});
+  };
+  handler.on_gone = [](request_id) {};
+  return handler;
+}
+
+http_handler edge_process::state::LookupHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&& request) {
+    const std::string target(request.target());
+    if (!target.starts_with(platform::kLookupPath)) {
+      lookups.Reply(id, {gateway::kStatusNotFound, {}, {}});
+      return;
+    }
+    const auto from = platform::DecodeLookup(target);
+    const auto addresses = gateway::ChooseEntries(
+        members, from.zone, from.region, kEntries, kMostEntries);
+    if (addresses.empty()) {
+      lookups.Reply(id, {gateway::kStatusUnavailable, {}, {}});
+      return;
+    }
+    lookups.Reply(
+        id, {gateway::kStatusOk,
+             {{"Content-Type", "application/json"}},
+             platform::EncodeLookup(addresses,
+                                    static_cast<int>(settings.lookup_ttl_s))});
+  };
+  handler.on_gone = [](request_id) {};
+  return handler;
+}
+
+http_handler edge_process::state::MetricsHandler() {
+  http_handler handler;
+  handler.on_request = [this](request_id id, http_request&&) {
+    edge_metrics_sources from;
+    from.core = core.Counters();
+    from.answers = core.Answers();
+    from.open_exchanges = core.OpenExchanges();
+    from.open_calls = core.OpenCalls();
+    from.known_leafs = core.Leafs();
+    from.version = static_cast<std::uint64_t>(core.Version());
+    from.clients = clients.Counters();
+    from.leafs = leafs.Counters();
+    from.peers = peers.Counters();
+    from.members = members.size();
+    from.relay_calls = config_store.RelayCalls() + leaf_store.RelayCalls();
+    from.store_calls = config_store.Calls() + leaf_store.Calls();
+    from.store_failures = config_store.Failures() + leaf_store.Failures();
+    from.log_lines_dropped = lines.Dropped() + log.LeftOut();
+    from.ready = ready;
+    metrics_port.Reply(id, {gateway::kStatusOk,
+                            {{"Content-Type", "text/plain"}},
+                            MetricsText(from)});
+  };
+  handler.on_gone = [](request_id) {};
+  return handler;
+}
+
+}  // namespace corianderrail::edge
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -6,9 +6,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
 #include <random>
@@ -17,21 +14,9 @@
 #include <utility>
 
 #include "core/host_address.h"
-#include "edge/decision_log.h"
-#include "edge/edge_metrics.h"
-#include "edge/http_port.h"
-#include "edge/leaf_pool.h"
-#include "edge/line_writer.h"
-#include "edge/peer_link.h"
+#include "edge/edge_state.h"
 #include "edge/process_time.h"
-#include "edge/relay_server.h"
-#include "edge/store_link.h"
-#include "gateway/entry_choice.h"
-#include "gateway/gateway.h"
-#include "gateway/http_status.h"
-#include "gateway/load_signal.h"
-#include "gateway/news_check.h"
-#include "gateway/stop_timing.h"
+#include "edge/settings_change.h"
 #include "platform/config_codec.h"
 #include "platform/message_codec.h"
 #include "platform/wire_names.h"
@@ -41,13 +26,9 @@
 
 namespace {
 
-namespace asio = boost::asio;
 using boost::system::error_code;
 using gateway::decision_input;
 
-/** Pause between looks for connections that exceeded a time limit. */
-constexpr std::chrono::milliseconds kSweepPeriod{200};
-
 /** Lines that the reader of standard output has not taken yet, in bytes. */
 constexpr std::size_t kLogBound = 256u << 10;
 
@@ -59,24 +40,10 @@
  *  requests of 1 KB take 2.5 ms of a core and 0.3 Mbit. */
 constexpr double kMillicoresPerMbps = 8;
 
-constexpr gateway::entry_settings kEntries;
-
 /** Time for peers to answer before the store is read: one of them may already
  *  hold what it serves. */
 constexpr std::chrono::milliseconds kJoinTime{100};
 
-/** Most addresses that a client reads from an answer. */
-constexpr std::size_t kMostEntries = 64;
-
-/** Fewer hosts than this are not assumed for shares of fleet-wide bounds:
- *  after a start, peers may not have been heard of yet. */
-constexpr std::uint32_t kLeastHosts = 4;
-
-/** Part of a leaf's drain time in which it is used as a last resort. The rest
- *  covers the time until this host learns of it. */
-constexpr int kDrainNumerator = 6;
-constexpr int kDrainDenominator = 10;
-
 std::uint64_t RandomSeed() {
   std::random_device source;
   return (std::uint64_t{source()} << 32) ^ source();
@@ -123,76 +90,12 @@
   gateway::gateway_settings settings;
   settings.here = {from.zone, from.region, from.regions};
   settings.repeats = {from.repeat_ratio, from.repeat_slack, from.repeat_window};
-  settings.leafs.last_resort =
-      from.leaf_drain * kDrainNumerator / kDrainDenominator;
+  settings.leafs.last_resort = LastResort(from);
   return settings;
 }
 
 }  // namespace
 
-struct edge_process::state {
-  state(edge_settings given, std::string given_path);
-
-  void Reduce(gateway::event happening);
-  void Do(gateway::send_leaf_effect& effect) { leafs.Send(std::move(effect)); }
-  void Do(gateway::cancel_leaf_effect& effect) { leafs.Cancel(effect.call); }
-  void Do(gateway::connect_leaf_effect& effect) { leafs.Connect(effect); }
-  void Do(gateway::forget_leaf_effect& effect) { leafs.Forget(effect.leaf); }
-  void Do(gateway::answer_effect& effect);
-  void Do(gateway::log_effect& effect) { log.Write(effect, Now()); }
-
-  http_handler ClientHandler();
-  http_handler ReadyHandler();
-  http_handler LookupHandler();
-  http_handler MetricsHandler();
-  store_link_settings LinkSettings(
-      std::string_view topic,
-      void (state::*on_changes)(const std::vector<gateway::store_item>&));
-  void OnConfig(const std::vector<gateway::store_item>& changes);
-  void OnLeafs(const std::vector<gateway::store_item>& changes);
-  void StartLinks();
-  void OnMembers();
-  void CheckReady();
-  void WaitForSignal();
-  void OnSignal(int number);
-  void Sweep();
-  void Wake();
-  void CheckNews();
-  void EndIfDone();
-
-  edge_settings settings;
-  std::string path;
-  asio::io_context io{1};
-  line_writer lines;
-  decision_log log;
-  gateway::gateway core;
-  leaf_pool leafs;
-  http_port clients;
-  http_port ready_port;
-  http_port lookups;
-  http_port metrics_port;
-  peer_link peers;
-  relay_server relay;
-  store_link config_store;
-  store_link leaf_store;
-  asio::signal_set signals;
-  asio::steady_timer wake_timer;
-  asio::steady_timer sweep_timer;
-  asio::steady_timer start_timer;
-  bool links_started = false;
-  time_point wake_at = kNever;
-  bool reducing = false;
-  std::vector<gateway::event> posted;
-  std::vector<member_record> members;
-  std::uint32_t most_hosts = kLeastHosts;
-  std::uint32_t most_entries = kLeastHosts;
-  gateway::load_signal load;
-  gateway::news_check news;
-  bool ready = false;
-  bool stopping = false;
-  gateway::stop_progress stop;
-};
-
 edge_process::state::state(edge_settings given, std::string given_path)
     : settings(std::move(given)),
       path(std::move(given_path)),
@@ -217,6 +120,7 @@
       wake_timer(io),
       sweep_timer(io),
       start_timer(io),
+      settings_timer(io),
       load(MakeLoad(settings)) {}
 
 /** Carries out the effects of an event, and of the events that they cause. */
@@ -257,89 +161,6 @@
   });
 }
 
-http_handler edge_process::state::ClientHandler() {
-  http_handler handler;
-  handler.on_request = [this](request_id id, http_request&& request) {
-    stop.last_request = Now();
-    auto decoded = std::make_shared<gateway::client_request>(
-        platform::DecodeRequest(std::move(request)));
-    Reduce(gateway::request_event{
-        gateway::exchange_id{static_cast<std::uint64_t>(id)},
-        std::move(decoded)});
-  };
-  handler.on_gone = [this](request_id id) {
-    Reduce(gateway::client_gone_event{
-        gateway::exchange_id{static_cast<std::uint64_t>(id)}});
-  };
-  return handler;
-}
-
-http_handler edge_process::state::ReadyHandler() {
-  http_handler handler;
-  handler.on_request = [this](request_id id, http_request&& request) {
-    const std::string target(request.target());
-    const bool known = target == platform::kReadyPath;
-    const int status = !known  ? gateway::kStatusNotFound
-                       : ready ? gateway::kStatusOk
-                               : gateway::kStatusUnavailable;
-    ready_port.Reply(id, {status, {}, {}});
-  };
-  handler.on_gone = [](request_id) {};
-  return handler;
-}
-
-http_handler edge_process::state::LookupHandler() {
-  http_handler handler;
-  handler.on_request = [this](request_id id, http_request&& request) {
-    const std::string target(request.target());
-    if (!target.starts_with(platform::kLookupPath)) {
-      lookups.Reply(id, {gateway::kStatusNotFound, {}, {}});
-      return;
-    }
-    const auto from = platform::DecodeLookup(target);
-    const auto addresses = gateway::ChooseEntries(
-        members, from.zone, from.region, kEntries, kMostEntries);
-    if (addresses.empty()) {
-      lookups.Reply(id, {gateway::kStatusUnavailable, {}, {}});
-      return;
-    }
-    lookups.Reply(
-        id, {gateway::kStatusOk,
-             {{"Content-Type", "application/json"}},
-             platform::EncodeLookup(addresses,
-                                    static_cast<int>(settings.lookup_ttl_s))});
-  };
-  handler.on_gone = [](request_id) {};
-  return handler;
-}
-
-http_handler edge_process::state::MetricsHandler() {
-  http_handler handler;
-  handler.on_request = [this](request_id id, http_request&&) {
-    edge_metrics_sources from;
-    from.core = core.Counters();
-    from.answers = core.Answers();
-    from.open_exchanges = core.OpenExchanges();
-    from.open_calls = core.OpenCalls();
-    from.known_leafs = core.Leafs();
-    from.version = static_cast<std::uint64_t>(core.Version());
-    from.clients = clients.Counters();
-    from.leafs = leafs.Counters();
-    from.peers = peers.Counters();
-    from.members = members.size();
-    from.relay_calls = config_store.RelayCalls() + leaf_store.RelayCalls();
-    from.store_calls = config_store.Calls() + leaf_store.Calls();
-    from.store_failures = config_store.Failures() + leaf_store.Failures();
-    from.log_lines_dropped = lines.Dropped() + log.LeftOut();
-    from.ready = ready;
-    metrics_port.Reply(id, {gateway::kStatusOk,
-                            {{"Content-Type", "text/plain"}},
-                            MetricsText(from)});
-  };
-  handler.on_gone = [](request_id) {};
-  return handler;
-}
-
 store_link_settings edge_process::state::LinkSettings(
     std::string_view topic,
     void (state::*on_changes)(const std::vector<gateway::store_item>&)) {
@@ -349,7 +170,7 @@
   link.self = HostIdOf(settings.peer_address);
   link.zone = settings.zone;
   link.seed = RandomSeed();
-  link.members = [this] { return members; };
+  link.members = [this] { return std::span(members); };
   link.on_news = [this, name = link.topic, on_changes](const store_news& news) {
     relay.Publish(name, news.changes, news.revision, news.confirmed);
     (this->*on_changes)(news.changes);
@@ -462,15 +283,7 @@
 
 void edge_process::state::OnSignal(int number) {
   if (number == SIGHUP) {
-    // Addresses and limits are fixed for the life of the process; the file is
-    // only checked, so that a bad one is known before the next start.
-    try {
-      LoadEdgeSettings(path);
-      log.WriteEvent("settings_checked", {});
-    } catch (const edge_settings_error& error) {
-      const decision_input inputs[] = {{"error", error.what()}};
-      log.WriteEvent("settings_refused", inputs);
-    }
+    Reload();
     return;
   }
   if (stopping) return;
@@ -489,6 +302,7 @@
   metrics_port.Sweep();
   leafs.Sweep();
   relay.Sweep(Now());
+  CheckClock();
   CheckNews();
   peers.SetBusy(load.Update(ProcessorTime(), Now()));
   EndIfDone();
@@ -498,6 +312,19 @@
   });
 }
 
+/** Distrusts what was known before this process did not run for a while. */
+void edge_process::state::CheckClock() {
+  const auto missing = gap.Check(Now());
+  if (!missing) return;
+  const decision_input inputs[] = {
+      {"gap_us", std::to_string(missing->count())}};
+  log.WriteEvent("clock_gap", inputs);
+  peers.OnClockGap();
+  config_store.Renew();
+  leaf_store.Renew();
+  Reduce(gateway::wake_event{});
+}
+
 /** Reads from another source when peers know changes that this host lacks. */
 void edge_process::state::CheckNews() {
   const std::uint64_t own =
@@ -540,6 +367,7 @@
   self.start_timer.async_wait([&self](error_code error) {
     if (!error) self.StartLinks();
   });
+  self.WatchSettings();
   self.Sweep();
   self.io.run();
 }
--- /dev/null
+++ b/packages/edge/edge_state.h
@@ -0,0 +1,113 @@
+/** @file edge_state.h State of an edge process behind its interface. */
+
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "edge/decision_log.h"
+#include "edge/edge_process.h"
+#include "edge/http_port.h"
+#include "edge/leaf_pool.h"
+#include "edge/line_writer.h"
+#include "edge/peer_link.h"
+#include "edge/process_time.h"
+#include "edge/relay_server.h"
+#include "edge/store_link.h"
+#include "gateway/clock_gap.h"
+#include "gateway/entry_choice.h"
+#include "gateway/gateway.h"
+#include "gateway/load_signal.h"
+#include "gateway/news_check.h"
+#include "gateway/stop_timing.h"
+
+namespace corianderrail::edge {
+
+namespace asio = boost::asio;
+
+/** Pause between looks for connections that exceeded a time limit. */
+inline constexpr std::chrono::milliseconds kSweepPeriod{200};
+
+/** Fewer hosts than this are not assumed for shares of fleet-wide bounds:
+ *  after a start, peers may not have been heard of yet. */
+inline constexpr std::uint32_t kLeastHosts = 4;
+
+inline constexpr gateway::entry_settings kEntries;
+
+/** Sockets, timers and reducers of one process. */
+struct edge_process::state {
+  state(edge_settings given, std::string given_path);
+
+  void Reduce(gateway::event happening);
+  void Do(gateway::send_leaf_effect& effect) { leafs.Send(std::move(effect)); }
+  void Do(gateway::cancel_leaf_effect& effect) { leafs.Cancel(effect.call); }
+  void Do(gateway::connect_leaf_effect& effect) { leafs.Connect(effect); }
+  void Do(gateway::forget_leaf_effect& effect) { leafs.Forget(effect.leaf); }
+  void Do(gateway::answer_effect& effect);
+  void Do(gateway::log_effect& effect) { log.Write(effect, Now()); }
+
+  http_handler ClientHandler();
+  http_handler ReadyHandler();
+  http_handler LookupHandler();
+  http_handler MetricsHandler();
+  store_link_settings LinkSettings(
+      std::string_view topic,
+      void (state::*on_changes)(const std::vector<gateway::store_item>&));
+  void OnConfig(const std::vector<gateway::store_item>& changes);
+  void OnLeafs(const std::vector<gateway::store_item>& changes);
+  void StartLinks();
+  void OnMembers();
+  void CheckReady();
+  void WaitForSignal();
+  void OnSignal(int number);
+  void WatchSettings();
+  void Reload();
+  void Apply(const edge_settings& fresh);
+  void Sweep();
+  void Wake();
+  void CheckNews();
+  void CheckClock();
+  void EndIfDone();
+
+  edge_settings settings;
+  std::string path;
+  std::string settings_text;  ///< Content of the file when it was last read.
+  asio::io_context io{1};
+  line_writer lines;
+  decision_log log;
+  gateway::gateway core;
+  leaf_pool leafs;
+  http_port clients;
+  http_port ready_port;
+  http_port lookups;
+  http_port metrics_port;
+  peer_link peers;
+  relay_server relay;
+  store_link config_store;
+  store_link leaf_store;
+  asio::signal_set signals;
+  asio::steady_timer wake_timer;
+  asio::steady_timer sweep_timer;
+  asio::steady_timer start_timer;
+  asio::steady_timer settings_timer;
+  bool links_started = false;
+  time_point wake_at = kNever;
+  bool reducing = false;
+  std::vector<gateway::event> posted;
+  std::vector<member_record> members;
+  std::uint32_t most_hosts = kLeastHosts;
+  std::uint32_t most_entries = kLeastHosts;
+  gateway::load_signal load;
+  gateway::news_check news;
+  gateway::clock_gap gap{kSweepPeriod};
+  bool ready = false;
+  bool stopping = false;
+  gateway::stop_progress stop;
+};
+
+}  // namespace corianderrail::edge
--- a/packages/edge/peer_link.cpp
+++ b/packages/edge/peer_link.cpp
@@ -64,6 +64,17 @@
   members_.SetRevision(revision_id{revision});
 }
 
+void peer_link::SetSeeds(std::span<const std::string> seeds) {
+  members_.SetSeeds(seeds);
+}
+
+void peer_link::OnClockGap() {
+  effect_list effects;
+  members_.OnClockGap(Now(), effects);
+  Carry(effects);
+  Wake();
+}
+
 std::uint64_t peer_link::HighestRevision() const {
   std::uint64_t highest = 0;
   for (const member_record& member : members_.Members()) {
--- a/packages/edge/peer_link.h
+++ b/packages/edge/peer_link.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
   void SetBusy(bool busy);
   void SetLeaving();
   void SetRevision(std::uint64_t revision);
+  void SetSeeds(std::span<const std::string> seeds);
+
+  /** This process did not run for a while: peers are asked anew. */
+  void OnClockGap();
 
   std::vector<member_record> Members() const { return members_.Members(); }
 
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -41,6 +41,17 @@
 // An open watch has not told of the change, so its connection may be silent.
 void store_link::Hurry() {
   sources_.OnFailure(Now());
+  Abandon();
+}
+
+void store_link::Renew() {
+  renewing_ = true;
+  Abandon();
+  renewing_ = false;
+}
+
+/** Ends the open read and begins another one. */
+void store_link::Abandon() {
   store_.Abandon();
   if (peer_) peer_->Abandon();
   follower_.Hurry(Now());
@@ -127,7 +138,7 @@
 
 void store_link::OnFailure(store_failure failure) {
   follower_.OnFailure(failure, Now());
-  if (failure != store_failure::compacted) {
+  if (failure != store_failure::compacted && !renewing_) {
     ++failures_;
     sources_.OnFailure(Now());
     TellSource(sources_.ReadsStore() ? kStore : std::string_view(peer_address_),
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,8 +35,8 @@
   host_id self{};             ///< This host.
   std::string zone;           ///< Its availability zone.
   std::uint64_t seed = 0;     ///< Of random pauses.
-  std::function<std::vector<member_record>()> members;  ///< All hosts.
-  std::function<void(const store_news&)> on_news;       ///< After each answer.
+  std::function<std::span<const member_record>()> members;  ///< All hosts.
+  std::function<void(const store_news&)> on_news;  ///< After each answer.
   /** The source was lost, regained or changed. */
   std::function<void(std::string_view source, bool reachable)> on_source;
 };
@@ -47,9 +48,12 @@
 
   void Start();
 
-  /** Reads anew at once, because a change is known to be missing. */
+  /** Reads from another source, because a change is known to be missing. */
   void Hurry();
 
+  /** Reads on new connections: this process did not run for a while. */
+  void Renew();
+
   bool Listed() const { return follower_.Listed(); }
 
   /** Revision of the newest change that was read. */
@@ -64,6 +68,7 @@
   void ReadPeer(const std::string& address, const gateway::store_read& read);
   void OnReply(gateway::store_reply reply, duration age);
   void OnFailure(gateway::store_failure failure);
+  void Abandon();
   void TellSource(std::string_view source, bool reachable);
 
   boost::asio::io_context& io_;
@@ -76,6 +81,7 @@
   gateway::source_choice sources_;
   std::string told_source_;
   bool told_reachable_ = true;
+  bool renewing_ = false;  ///< The open read is given up, not failed.
   std::uint64_t newest_ = 0;
   std::uint64_t calls_ = 0;
   std::uint64_t failures_ = 0;
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -3,8 +3,11 @@
 #include "edge/edge_settings.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
 
+#include "edge/settings_change.h"
+
 namespace corianderrail::edge {
 
 namespace {
@@ -55,4 +58,34 @@
   CHECK(Faults("host = [").find("f.toml:1") != std::string::npos);
 }
 
+// Guards against seeds that are only read at the next start: a host that was
+// cut off from all others could not find them again.
+TEST_CASE("Settings_SeedsAndBoundsChange_TakeEffectAtOnce") {
+  edge_settings running = ParseEdgeSettings(Whole(), "f.toml");
+  edge_settings fresh = running;
+  fresh.seeds = {"10.0.0.7:4"};
+  fresh.repeat_slack = 7;
+  fresh.stop_grace = std::chrono::seconds(9);
+  CHECK(KeysForNextStart(running, fresh).empty());
+  TakeRunningValues(fresh, running);
+  CHECK(running.seeds == fresh.seeds);
+  CHECK(running.repeat_slack == 7);
+  CHECK(running.stop_grace == std::chrono::seconds(9));
+}
+
+// Guards against changes that are silently left out until a restart.
+TEST_CASE("Settings_AddressesChange_AreNamedForTheNextStart") {
+  const edge_settings running = ParseEdgeSettings(Whole(), "f.toml");
+  edge_settings fresh = running;
+  fresh.client_address = "10.0.0.1:9";
+  fresh.link_mbps = 20;
+  const auto keys = KeysForNextStart(running, fresh);
+  REQUIRE(keys.size() == 2);
+  CHECK(keys[0] == "client_address");
+  CHECK(keys[1] == "link_mbps");
+  edge_settings after = running;
+  TakeRunningValues(fresh, after);
+  CHECK(after.client_address == running.client_address);
+}
+
 }  // namespace corianderrail::edge
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -231,12 +231,25 @@
 void gateway::On(fleet_event& happening, time_point) {
   near_fleet_ = happening.own_region;
   far_fleet_ = happening.other_regions;
-  slack_share_ = SlackShare(settings_.repeats.slack, happening);
+  fleet_ = happening;
   const bool joins = happening.is_entry && !is_entry_;
   is_entry_ = happening.is_entry;
   if (joins) ConnectAll();
+  ShareSlack();
+}
+
+void gateway::On(bounds_event& happening, time_point) {
+  settings_.repeats.ratio = happening.repeat_ratio;
+  settings_.repeats.slack = happening.repeat_slack;
+  directory_.SetLastResort(happening.last_resort);
+  ShareSlack();
+}
+
+/** Gives each service this host's part of the repeats. */
+void gateway::ShareSlack() {
+  slack_share_ = SlackShare(settings_.repeats.slack, fleet_);
   for (auto& [name, service] : services_) {
-    service->budget.SetSlack(slack_share_);
+    service->budget.SetBounds(settings_.repeats.ratio, slack_share_);
   }
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -87,6 +87,7 @@
   void On(config_event& happening, time_point now);
   void On(registry_event& happening, time_point now);
   void On(fleet_event& happening, time_point now);
+  void On(bounds_event& happening, time_point now);
   void On(wake_event& happening, time_point now);
   void OnTimer(const timer& due, time_point now);
   void LearnFrom(leaf_state& leaf, const open_request& call, leaf_call id,
@@ -94,6 +95,7 @@
   void CheckLeafs(time_point now);
   void LogSuspicion(const leaf_state& leaf, std::string_view reason);
   const std::shared_ptr<service_state>& Service(const std::string& name);
+  void ShareSlack();
   void Prune();
   bool SendsTo(const std::string& service) const;
   void Connect(leaf_state& leaf);
@@ -145,6 +147,7 @@
   leaf_directory directory_;
   fleet_size near_fleet_;
   fleet_size far_fleet_;
+  fleet_event fleet_;  ///< As last told.
   double slack_share_ = 0;
   bool is_entry_ = true;
   bool registry_complete_ = false;
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -65,13 +65,20 @@
   fleet_size other_regions;   ///< Seen from a leaf elsewhere, on average.
 };
 
+/** Bounds from the settings changed. */
+struct bounds_event {
+  double repeat_ratio = 0;  ///< Repeats for each first request.
+  double repeat_slack = 0;  ///< Repeats a window of the fleet.
+  duration last_resort{};   ///< Time in which leafs that leave get work.
+};
+
 /** Time passed. */
 struct wake_event {};
 
 using event =
     std::variant<request_event, client_gone_event, leaf_answer_event,
                  leaf_failure_event, leaf_connected_event, config_event,
-                 registry_event, fleet_event, wake_event>;
+                 registry_event, fleet_event, bounds_event, wake_event>;
 
 /** Sends a request to a leaf. */
 struct send_leaf_effect {
--- a/packages/gateway/leaf_directory.h
+++ b/packages/gateway/leaf_directory.h
@@ -50,6 +50,8 @@
  public:
   explicit leaf_directory(leaf_directory_settings settings);
 
+  void SetLastResort(duration length) { settings_.last_resort = length; }
+
   /**
    * Applies a change.
    * @return Handle of a registration that ended by it, if any.
--- a/packages/gateway/repeat_budget.h
+++ b/packages/gateway/repeat_budget.h
@@ -38,7 +38,10 @@
   /** Takes one repeat; false when the window has no room for it. */
   bool Take(repeat_reason reason, time_point now);
 
-  void SetSlack(double slack) { settings_.slack = slack; }
+  void SetBounds(double ratio, double slack) {
+    settings_.ratio = ratio;
+    settings_.slack = slack;
+  }
 
  private:
   static constexpr std::size_t kBuckets = 20;
--- a/packages/gateway/tests/fleet_topics_test.cpp
+++ b/packages/gateway/tests/fleet_topics_test.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/host_address.h"
+#include "gateway/clock_gap.h"
 #include "gateway/connection_share.h"
 #include "gateway/entry_choice.h"
 #include "gateway/load_signal.h"
@@ -211,4 +212,24 @@
   CHECK(MayEnd(settings, {asked, asked, 1}, asked + milliseconds(5900)));
 }
 
+// Guards against a host that wakes up and serves with what it knew before.
+TEST_CASE("Clock_HostWasSuspended_GapIsNoticedOnce") {
+  const time_point start{seconds(50)};
+  clock_gap gap(milliseconds(200));
+  CHECK_FALSE(gap.Check(start));
+  CHECK_FALSE(gap.Check(start + milliseconds(200)));
+  const auto missing = gap.Check(start + milliseconds(4400));
+  REQUIRE(missing);
+  CHECK(*missing == milliseconds(4000));
+  CHECK_FALSE(gap.Check(start + milliseconds(4600)));
+}
+
+// Guards against a busy host that takes its own delay for a suspension.
+TEST_CASE("Clock_HostIsBusy_IsNoGap") {
+  const time_point start{seconds(50)};
+  clock_gap gap(milliseconds(200));
+  gap.Check(start);
+  CHECK_FALSE(gap.Check(start + milliseconds(900)));
+}
+
 }  // namespace corianderrail::gateway
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 SHARDS = 4
 QUERY_MS = 800
 TOP = 5
+ATTEMPTS = 2
 SETTLE_SECONDS = 6
 SERVED_AFTER_FAULTS = 0.95
 
@@ -39,6 +40,7 @@
         self.base = soak.base_port + 10 * number
         self.process = None
         self.stopping = False
+        self.seeds = [0, 1]
         self.proxy = standins.Proxy(soak.store.port)
 
     def address(self, offset):
@@ -46,7 +48,7 @@
 
     def write_settings(self):
         path = os.path.join(self.soak.work, f"host{self.number}.toml")
-        seeds = [f"127.0.0.1:{self.soak.base_port + 10 * i + 3}" for i in range(2)]
+        seeds = [f"127.0.0.1:{self.soak.base_port + 10 * i + 3}" for i in self.seeds]
         with open(path, "w", encoding="utf-8") as file:
             file.write(
                 f'host = "h{self.number}"\nzone = "{self.zone}"\n'
@@ -132,7 +134,7 @@
         self.version += self.rng.randrange(1, 4)
         shards = [f"s{i}" for i in range(SHARDS)]
         common = {"Host": "h.example", "TimeoutMs": QUERY_MS, "GoalMs": 200,
-                  "Attempts": 2}
+                  "Attempts": ATTEMPTS}
         routes = [
             {**common, "Name": "query", "Prefix": "/query/", "Type": "idempotent",
              "Priority": 0, "Gather": shards, "TopK": TOP, "MinShardRatio": 0.5},
@@ -238,7 +240,8 @@
             self.kill_host, self.stop_host, self.pause_host, self.break_store,
             self.break_store_path, self.break_leaf, self.break_leaf,
             self.drain_leaf, self.crash_leaf, self.reset_store, self.publish,
-            self.compact_store])
+            self.compact_store, self.burst, self.clients_leave,
+            self.change_settings])
         self.counts["faults"] += 1
         await fault()
 
@@ -327,6 +330,38 @@
         self.store.compact()
         self.store.reset_connections()
 
+    async def burst(self):
+        end = time.monotonic() + self.rng.uniform(0.5, 2)
+        kind = self.rng.choice(["query", "read", "order"])
+
+        async def client():
+            while time.monotonic() < end:
+                await self.request(kind)
+        await asyncio.gather(*[client() for _ in range(40)])
+
+    async def clients_leave(self):
+        async def leave():
+            self.sequence += 1
+            attempt = f"r{self.sequence}"
+            host = self.rng.choice(self.hosts)
+            try:
+                _, writer = await asyncio.wait_for(
+                    asyncio.open_connection("127.0.0.1", host.base), 1)
+            except (OSError, asyncio.TimeoutError):
+                return
+            writer.write(f"GET /query/{attempt} HTTP/1.1\r\nHost: h.example\r\n"
+                         f"X-Attempt-Id: {attempt}\r\n\r\n".encode())
+            await asyncio.sleep(self.rng.uniform(0, 0.01))
+            writer.close()
+        await asyncio.gather(*[leave() for _ in range(20)])
+
+    async def change_settings(self):
+        host = self.rng.choice(self.hosts)
+        host.seeds = self.rng.sample(range(self.host_count), 2)
+        host.write_settings()
+        if self.rng.random() < 0.5:
+            host.signal(signal.SIGHUP)
+
     # Checks at the end.
 
     async def run(self):
@@ -346,6 +381,12 @@
         return served
 
     def check_runs(self):
+        leafs = collections.defaultdict(set)
+        for attempt, instance, _ in self.runs:
+            leafs[attempt, instance.split("-")[1]].add(instance)
+        for (attempt, service), asked in leafs.items():
+            if len(asked) > ATTEMPTS:
+                self.fail(f"{attempt} ran on {len(asked)} leafs of {service}")
         orders = collections.Counter(a for a, _, m in self.runs if m == "POST")
         for attempt, times in orders.items():
             if times > 1:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -195,7 +195,7 @@
         if bad and self.mode == "shed":
             writer.write(answer(503, [("X-Not-Run", "1")]))
             return True
-        self.runs.append((attempt, self.service, method))
+        self.runs.append((attempt, self.instance, method))
         await asyncio.sleep(self.work_s * self.rng.uniform(0.5, 2))
         if bad and self.mode == "silent":
             await asyncio.sleep(3600)
