Fuzz the decoders; survive TOML that makes toml++ assert

A contract with such a line, published by an operator, ended every host that read it.

The message target parses what is sent to a leaf again and compares it with what the client sent. - request_framing holds the checks of lengths and hosts that http_port did, so that the fuzz target uses the same. - findings of the linter in the flood simulation.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build/release
 CTEST_ARGS ?= --output-on-failure -j 6
 
-.PHONY: deps build test unit demo bench format lint test-asan test-tsan install
+.PHONY: deps build test unit demo bench format lint fuzz test-asan test-tsan install
 
 deps:
 	@scripts/install_packages.sh
@@ -11,10 +11,12 @@
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
 	@cmake --build $(BUILD)
 
-# Formatter check, linter and every test; closes with ctest's summary.
+# Formatter check, linter, a short fuzz run and every test; closes with
+# ctest's summary.
 test: build
 	@scripts/check_format.sh
 	@scripts/lint.sh $(BUILD)
+	@scripts/fuzz.sh
 	@scripts/run_tests.sh $(BUILD) $(CTEST_ARGS)
 
 unit: build
@@ -33,6 +35,10 @@
 lint: build
 	@scripts/lint.sh $(BUILD)
 
+# Longer runs: scripts/fuzz.sh SECONDS
+fuzz: deps
+	@scripts/fuzz.sh
+
 test-asan: deps
 	@cmake -S . -B build/asan -G Ninja -DCMAKE_BUILD_TYPE=Release \
 	  -DCORIANDERRAIL_SANITIZE=address,undefined >/dev/null
--- a/packages/contract/toml_reader.cpp
+++ b/packages/contract/toml_reader.cpp
@@ -95,6 +95,42 @@
   return text == canonical.data();
 }
 
+/** True when a line has bytes beyond ASCII outside of quotes and comments. */
+bool HasUnquotedText(std::string_view line) {
+  char quote = 0;
+  for (std::size_t i = 0; i < line.size(); ++i) {
+    const char c = line[i];
+    if (quote == 0 && c == '#') return false;
+    if (quote == 0 && static_cast<unsigned char>(c) >= 0x80) return true;
+    if (quote == '"' && c == '\\') {
+      ++i;
+    } else if (quote == 0 && (c == '"' || c == '\'')) {
+      quote = c;
+    } else if (c == quote) {
+      quote = 0;
+    }
+  }
+  return false;
+}
+
+/** Such bytes have no meaning in TOML, and toml++ 3.3 leaves its behavior
+ *  undefined for some of them where white space may stand. */
+bool CheckQuotes(std::string_view bytes, fault_list& faults) {
+  std::uint32_t number = 1;
+  while (!bytes.empty()) {
+    const std::size_t end = std::min(bytes.find('\n'), bytes.size());
+    if (HasUnquotedText(bytes.substr(0, end))) {
+      faults.Add(contract_fault::syntax, number,
+                 "the text is not TOML: a character that is not ASCII stands "
+                 "outside of quotes; put the value in quotes on one line");
+      return false;
+    }
+    bytes.remove_prefix(std::min(end + 1, bytes.size()));
+    ++number;
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string NumberText(double value) {
@@ -118,6 +154,7 @@
     return std::nullopt;
   }
   if (!CheckLines(bytes, faults)) return std::nullopt;
+  if (!CheckQuotes(bytes, faults)) return std::nullopt;
   try {
     return toml::parse(bytes);
   } catch (const toml::parse_error& error) {
@@ -134,6 +171,11 @@
     for (char c : error.description()) what += (c >= ' ' && c <= '~') ? c : '?';
     faults.Add(contract_fault::syntax, line, what + "; correct this line");
     return std::nullopt;
+  } catch (const toml_assertion&) {
+    faults.Add(contract_fault::syntax, 1,
+               "the text is not TOML: a table header has no name; look for a "
+               "'[' without a name after it");
+    return std::nullopt;
   }
 }
 
--- a/packages/contract/toml_reader.h
+++ b/packages/contract/toml_reader.h
@@ -2,7 +2,6 @@
 
 #pragma once
 
-#include <toml++/toml.h>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "contract/document_fault.h"
+#include "contract/toml.h"
 
 namespace corianderrail {
 
--- a/packages/edge/http_port.cpp
+++ b/packages/edge/http_port.cpp
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "edge/request_framing.h"
 #include "gateway/http_status.h"
 
 namespace corianderrail::edge {
@@ -31,7 +32,6 @@
 using clock = std::chrono::steady_clock;
 
 constexpr int kListenBacklog = 1024;
-constexpr unsigned kHttp10 = 10;
 
 /** Longest time without progress of a peer that reads an answer. */
 constexpr std::chrono::seconds kWriteTimeout{10};
@@ -41,34 +41,6 @@
 
 bool IsHead(boost::beast::string_view method) { return method == "HEAD"; }
 
-bool IsDigits(boost::beast::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return c >= '0' && c <= '9';
-  });
-}
-
-/** Fields whose meaning could differ between this host and a leaf. */
-bool HasAmbiguousFraming(const http_request& request) {
-  const auto lengths = request.equal_range(http::field::content_length);
-  if (std::distance(lengths.first, lengths.second) > 1) return true;
-  // Beast takes a list of equal lengths for one length.
-  const bool has_length = lengths.first != lengths.second;
-  if (has_length && !IsDigits(lengths.first->value())) return true;
-  const auto codings = request.equal_range(http::field::transfer_encoding);
-  const auto count = std::distance(codings.first, codings.second);
-  if (count > 1) return true;
-  if (count == 0) return false;
-  if (has_length) return true;
-  return request.version() <= kHttp10 ||
-         !iequals(codings.first->value(), "chunked");
-}
-
-bool HasBadHost(const http_request& request) {
-  const auto hosts = request.equal_range(http::field::host);
-  const auto count = std::distance(hosts.first, hosts.second);
-  return request.version() > kHttp10 ? count != 1 : count > 1;
-}
-
 /** Status for a request that could not be read; 0 closes without one. */
 int StatusFor(const error_code& error) {
   if (error == http::error::header_limit) return gateway::kStatusHeadTooLarge;
@@ -208,7 +180,7 @@
     OnReadError(error);
     return;
   }
-  if (HasAmbiguousFraming(parser_->get()) || HasBadHost(parser_->get())) {
+  if (!IsUnambiguous(parser_->get())) {
     OnReadError(http::make_error_code(http::error::bad_field));
     return;
   }
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -58,6 +58,23 @@
   CHECK(Faults("host = [").find("f.toml:1") != std::string::npos);
 }
 
+// Guards against undefined behavior of toml++ 3.3, found by fuzzing.
+TEST_CASE("Settings_TextOutsideQuotes_IsRefusedWithLine") {
+  CHECK(Faults("\xef\xbb\xbb").find("f.toml:1") != std::string::npos);
+  CHECK(Faults("host = \"h\" \xc3\xa9").find("not ASCII") != std::string::npos);
+  CHECK(Faults("# caf\xc3\xa9\n").find("not ASCII") == std::string::npos);
+  CHECK(Faults("host = \"caf\xc3\xa9\"\n").find("not ASCII") ==
+        std::string::npos);
+}
+
+// Guards against an assertion of toml++ 3.3 that ended the process.
+TEST_CASE("Settings_HeaderWithoutName_IsRefused") {
+  for (const char* text : {"[=", "[\n", "[.a]", "[[[", "[,"}) {
+    INFO(text);
+    CHECK(Faults(text).find("not TOML") != std::string::npos);
+  }
+}
+
 // Guards against seeds that are only read at the next start: a host that was
 // cut off from all others could not find them again.
 TEST_CASE("Settings_SeedsAndBoundsChange_TakeEffectAtOnce") {
--- a/packages/gateway/load_refusal.cpp
+++ b/packages/gateway/load_refusal.cpp
@@ -10,6 +10,8 @@
 #include "gateway/load_refusal.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 
 namespace corianderrail::gateway {
 
@@ -29,11 +31,12 @@
   request_room room;
   if (services.size() <= spare) return room;
   const std::size_t last_needed = services.size() - 1 - spare;
+  const auto middle =
+      std::next(services.begin(), static_cast<std::ptrdiff_t>(last_needed));
   std::nth_element(
-      services.begin(), services.begin() + last_needed, services.end(),
+      services.begin(), middle, services.end(),
       [](const auto& a, const auto& b) { return a.wait < b.wait; });
-  const service_room& decides = services[last_needed];
-  return {decides.wait, decides.interval};
+  return {middle->wait, middle->interval};
 }
 
 bool IsWorthQueueing(const request_room& room, duration usual_latency,
--- a/packages/gateway/tests/flood_simulation.cpp
+++ b/packages/gateway/tests/flood_simulation.cpp
@@ -173,7 +173,7 @@
 /** Clients arrive independently of each other. */
 void flood_simulation::PlanArrival(std::size_t kind, double per_second,
                                    time_point end) {
-  const double uniform = (random_.Below(1'000'000) + 1) / 1e6;
+  const double uniform = 1 - random_.Unit();  // Never 0.
   const duration pause(
       static_cast<duration::rep>(-std::log(uniform) / per_second * 1e6));
   const time_point when = now_ + pause;
--- a/packages/gateway/tests/flood_test.cpp
+++ b/packages/gateway/tests/flood_test.cpp
@@ -29,6 +29,7 @@
   static flood_setup Setup() {
     flood_setup setup;
     std::vector<std::string> shards;
+    shards.reserve(10);
     for (int i = 0; i < 10; ++i) shards.push_back("s" + std::to_string(i));
     flood_kind urgent;
     urgent.name = "urgent";
--- a/packages/node/settings.cpp
+++ b/packages/node/settings.cpp
@@ -2,8 +2,6 @@
 
 #include "node/settings.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <array>
 #include <fstream>
@@ -15,6 +13,7 @@
 #include <sstream>
 #include <vector>
 
+#include "contract/toml.h"
 #include "wire/http_client.h"
 #include "wire/peer_codec.h"
 
@@ -319,6 +318,11 @@
     throw settings_error(
         kind::syntax, name + ':' + std::to_string(error.source().begin.line) +
                           ": " + std::string(error.description()));
+  } catch (const toml_assertion&) {
+    throw settings_error(kind::syntax,
+                         name +
+                             ": a table header has no name; look for a '[' "
+                             "without a name after it");
   }
   CheckTogether(settings, name);
   return settings;
--- /dev/null
+++ b/tests/fuzz/configuration_fuzz.cpp
@@ -0,0 +1,26 @@
+/** @file configuration_fuzz.cpp Configurations and entries of leafs. */
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "gateway/route_table.h"
+#include "platform/config_codec.h"
+
+/** Guards against configurations that end the process or break the routing. */
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace corianderrail;
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  platform::DecodeLeaf("servers/i-1", bytes);
+  const auto config = platform::DecodeConfig(bytes);
+  if (!config) return 0;
+  const gateway::route_table table(config);
+  for (const gateway::route& one : config->routes) {
+    // A route that was accepted is found, or a route of the same path is.
+    if (table.Find(one.host, one.prefix) == nullptr) std::abort();
+    if (one.targets.empty() && one.shards.empty()) std::abort();
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/message_fuzz.cpp
@@ -0,0 +1,67 @@
+/** @file message_fuzz.cpp Requests of clients and answers of leafs. */
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "edge/request_framing.h"
+#include "platform/message_codec.h"
+
+namespace {
+
+using namespace corianderrail;
+namespace http = boost::beast::http;
+
+constexpr std::string_view kInstance = "i-1";
+
+/** Parses one whole message; nothing when the bytes are no such message. */
+template <bool IsRequest>
+std::optional<http::message<IsRequest, http::string_body>> Parse(
+    const char* data, std::size_t size, std::size_t* used) {
+  http::parser<IsRequest, http::string_body> parser;
+  parser.eager(true);
+  boost::system::error_code error;
+  *used = parser.put(boost::asio::buffer(data, size), error);
+  if (error || !parser.is_done()) return std::nullopt;
+  return parser.release();
+}
+
+/** What reaches the leaf is one request, and the client's. */
+void CheckForwarded(const gateway::client_request& request) {
+  const std::string text =
+      platform::EncodeLeafRequest(request, std::chrono::seconds(1), kInstance);
+  std::size_t used = 0;
+  const auto seen = Parse<true>(text.data(), text.size(), &used);
+  if (!seen || used != text.size()) std::abort();
+  if (seen->target() != request.target) std::abort();
+  if (seen->method_string() != request.method) std::abort();
+  if (seen->body() != request.body) std::abort();
+  if (seen->count("X-Target-Instance") != 1) std::abort();
+  if ((*seen)["X-Target-Instance"] != "i-1") std::abort();
+  if (seen->count("X-Deadline-Ms") != 1) std::abort();
+}
+
+}  // namespace
+
+/** Guards against requests that reach a leaf as something else. */
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const auto* text = reinterpret_cast<const char*>(data);
+  std::size_t used = 0;
+  if (auto request = Parse<true>(text, size, &used)) {
+    if (edge::IsUnambiguous(*request)) {
+      CheckForwarded(platform::DecodeRequest(std::move(*request)));
+    }
+  }
+  if (auto answer = Parse<false>(text, size, &used)) {
+    platform::DecodeLeafAnswer(std::move(*answer));
+  }
+  platform::DecodeLookup({text, size});
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/settings_fuzz.cpp
@@ -0,0 +1,20 @@
+/** @file settings_fuzz.cpp Settings files. */
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "edge/edge_settings.h"
+
+/** Guards against files that end the process without a message. */
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace corianderrail::edge;
+  try {
+    ParseEdgeSettings({reinterpret_cast<const char*>(data), size}, "f.toml");
+  } catch (const edge_settings_error& error) {
+    if (std::string_view(error.what()).empty()) std::abort();
+  }
+  return 0;
+}
