Log the inputs of refusals by load, and leafs that get fewer requests

A refusal for lack of room now says the expected wait and when the client may come back; leaf_limited says which wait at the leaf led to its bound.

--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -27,6 +27,7 @@
         {"repeat_denied", 5, 20},
         {"leaf_suspected", 10, 50},
         {"leaf_restored", 10, 50},
+        {"leaf_limited", 10, 50},
         {"leaf_listed", 10, 200},
         {"leaf_delisted", 10, 200},
         {"config_in_force", 5, 20},
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -86,7 +86,9 @@
   leaf_answer& answer = happening.answer;
   const bool ran = !answer.not_run;
   if (leaf_state* leaf = directory_.Find(call.leaf)) {
+    const bool bounded = leaf->evidence.Window().IsBounded(now);
     LearnFrom(*leaf, call, happening.call, answer, now);
+    if (!bounded) LogLimit(*leaf, now);
   }
   const auto owner = exchanges_.find(call.exchange);
   if (owner != exchanges_.end()) {
@@ -287,6 +289,19 @@
   });
 }
 
+/** Logs that a leaf gets fewer requests, if it has a bound now. */
+void gateway::LogLimit(const leaf_state& leaf, time_point now) {
+  const leaf_window& window = leaf.evidence.Window();
+  if (!window.IsBounded(now)) return;
+  effects_->push_back(
+      log_effect{decision::leaf_limited,
+                 leaf.record.instance,
+                 {{"service", leaf.record.service},
+                  {"delay_us", std::to_string(window.Delay().count())},
+                  {"limit", std::to_string(window.Limit(now))},
+                  {"open", std::to_string(leaf.evidence.Open())}}});
+}
+
 void gateway::LogSuspicion(const leaf_state& leaf, std::string_view reason) {
   effects_->push_back(
       log_effect{decision::leaf_suspected,
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -141,6 +141,7 @@
     return false;
   }
   const request_room room = RoomOf(one, now);
+  one.expected_wait = room.wait;
   const duration usual = one.stats->Late(settings_.here.zone, settings_.here,
                                          one.matched->goal, now);
   if (!IsWorthQueueing(room, usual, one.goal_at - now)) {
@@ -343,6 +344,8 @@
        {"status", std::to_string(answer.status)},
        {"elapsed_us", Micros(now - one.arrived)},
        {"left_us", one.matched == nullptr ? "" : Micros(one.deadline - now)},
+       {"wait_us", Micros(one.expected_wait)},
+       {"retry_after_us", Micros(retry_after)},
        {"parts", std::to_string(one.parts.size())},
        {"answered", std::to_string(answered)},
        {"sends", std::to_string(sends)},
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -60,7 +60,8 @@
   const std::uint32_t hosts = std::max(near_fleet_.near_hosts, 1u);
   const std::uint32_t least =
       near ? (leaf.record.slots + hosts - 1) / hosts : 1;
-  const double window = std::max<double>(leaf.evidence.Window(now), least);
+  const double window =
+      std::max<double>(leaf.evidence.Window().Limit(now), least);
   return window < share ? static_cast<std::uint32_t>(window) : share;
 }
 
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -39,6 +39,7 @@
   time_point deadline{};
   std::vector<part> parts;
   std::vector<leaf_call> calls;        ///< In flight.
+  duration expected_wait{};            ///< For room, when it arrived.
   bool may_have_run = false;           ///< A leaf may have begun to work on it.
   std::optional<leaf_answer> failure;  ///< Last failure of a leaf, with proof.
 
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -123,11 +123,12 @@
   repeat_denied,    ///< It did not, because the budget was spent.
   leaf_suspected,   ///< A leaf gets no work for a while.
   leaf_restored,    ///< A leaf gets work again.
+  leaf_limited,     ///< A leaf has a queue; this host sends it less.
   leaf_listed,      ///< The registry added or changed a leaf.
   leaf_delisted,    ///< The registry removed a leaf, or it is leaving.
   config_in_force,  ///< A newer configuration is in force.
 };
-inline constexpr std::size_t kDecisions = 10;
+inline constexpr std::size_t kDecisions = 11;
 
 /** One input of a decision. */
 struct decision_input {
--- a/packages/gateway/leaf_evidence.h
+++ b/packages/gateway/leaf_evidence.h
@@ -70,7 +70,7 @@
   bool OnProbation() const { return streak_ >= kStreakToEject; }
 
   /** Most requests that this host may have open there. */
-  double Window(time_point now) const { return window_.Limit(now); }
+  const leaf_window& Window() const { return window_; }
 
  private:
   /** Failures in a row that eject a leaf. */
--- a/packages/gateway/leaf_window.cpp
+++ b/packages/gateway/leaf_window.cpp
@@ -71,6 +71,14 @@
   shrunk_at_ = now;
 }
 
+bool leaf_window::IsBounded(time_point now) const {
+  return Limit(now) < kUnlimited;
+}
+
+duration leaf_window::Delay() const {
+  return duration(static_cast<duration::rep>(delay_us_));
+}
+
 double leaf_window::Limit(time_point now) const {
   if (limit_ == 0) return kUnlimited;
   const double gained = Ratio(now - shrunk_at_, kGrowth);
--- a/packages/gateway/leaf_window.h
+++ b/packages/gateway/leaf_window.h
@@ -31,6 +31,11 @@
   /** Most open requests; very large while there is no bound. */
   double Limit(time_point now) const;
 
+  bool IsBounded(time_point now) const;
+
+  /** Average wait at the leaf, from answers. */
+  duration Delay() const;
+
  private:
   void Shrink(std::uint32_t open, double factor, time_point now);
 
--- a/packages/gateway/tests/placing_topics_test.cpp
+++ b/packages/gateway/tests/placing_topics_test.cpp
@@ -170,7 +170,7 @@
     Answer(milliseconds(10));
   }
   CHECK(evidence_.FailureRate(now_) > 0.3);
-  CHECK(evidence_.Window(now_) < 3);
+  CHECK(evidence_.Window().Limit(now_) < 3);
   CHECK_FALSE(evidence_.OnProbation());
 }
 
