Send no more to a leaf whose open requests are late; log clients that leave

The window learns from answers only, so it was told too late.

Change: a leaf with a late open request and no answer since then gets nothing beyond what it has, or this host's share of its slots; parts wait in the host instead. client_left names route, time, sends and missing parts.

Tests of the gateway pass unchanged.

--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -23,6 +23,7 @@
         {"request_refused", 40, 200},
         {"answer_partial", 20, 100},
         {"answer_late", 20, 100},
+        {"client_left", 20, 100},
         {"request_repeated", 5, 20},
         {"repeat_denied", 5, 20},
         {"leaf_suspected", 10, 50},
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -67,6 +67,7 @@
   if (found == exchanges_.end()) return;
   exchange& one = *found->second;
   ++counters_.abandoned;
+  LogAbandoned(one, now);
   for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
   std::vector<std::shared_ptr<service_state>> freed;
   for (const part& piece : one.parts) freed.push_back(piece.service);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -137,6 +137,7 @@
                   leaf_answer& answer, time_point now);
   void TakeFailure(exchange& one, std::size_t index, bool ran, time_point now);
   static std::string MissingParts(const exchange& one);
+  void LogAbandoned(const exchange& one, time_point now);
   void Answer(exchange& one, client_answer answer, time_point now);
   void Refuse(exchange& one, refusal_cause cause, duration retry_after,
               time_point now);
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -368,6 +368,21 @@
   return missing;
 }
 
+/** Logs what a client did not wait for. */
+void gateway::LogAbandoned(const exchange& one, time_point now) {
+  std::size_t sends = 0;
+  for (const part& piece : one.parts) sends += piece.asked.size();
+  const bool routed = one.matched != nullptr;
+  effects_->push_back(
+      log_effect{decision::abandoned,
+                 one.request->attempt,
+                 {{"route", routed ? one.matched->name : ""},
+                  {"elapsed_us", Micros(now - one.arrived)},
+                  {"left_us", routed ? Micros(one.deadline - now) : ""},
+                  {"sends", std::to_string(sends)},
+                  {"missing", MissingParts(one)}}});
+}
+
 void gateway::Answer(exchange& one, client_answer answer, time_point now) {
   for (std::size_t i = 0; i < one.parts.size(); ++i) StopWaiting(one, i);
   if (one.matched != nullptr) {
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -62,7 +62,12 @@
       near ? (leaf.record.slots + hosts - 1) / hosts : 1;
   const double window =
       std::max<double>(leaf.evidence.Window().Limit(now), least);
-  return window < share ? static_cast<std::uint32_t>(window) : share;
+  if (window < share) share = static_cast<std::uint32_t>(window);
+  // What it has is late already; more would only queue there, unseen.
+  if (leaf.evidence.Stalled(now)) {
+    share = std::min(share, std::max(leaf.evidence.Open(), least));
+  }
+  return share;
 }
 
 /** Fills candidates_ with the leafs of the part's service. */
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -119,6 +119,7 @@
   refused,          ///< A host answered in place of a leaf.
   partial,          ///< A gathered answer lacks parts.
   late,             ///< An answer after the objective.
+  abandoned,        ///< The client left before its answer.
   repeated,         ///< A request went to a second leaf.
   repeat_denied,    ///< It did not, because the budget was spent.
   leaf_suspected,   ///< A leaf gets no work for a while.
@@ -128,7 +129,7 @@
   leaf_delisted,    ///< The registry removed a leaf, or it is leaving.
   config_in_force,  ///< A newer configuration is in force.
 };
-inline constexpr std::size_t kDecisions = 11;
+inline constexpr std::size_t kDecisions = 12;
 
 /** One input of a decision. */
 struct decision_input {
