--- a/packages/contract/toml_reader.cpp
+++ b/packages/contract/toml_reader.cpp
@@ -95,20 +95,26 @@
   return text == canonical.data();
 }
 
-/** True when a line has bytes beyond ASCII outside of quotes and comments. */
+/** True when a line has bytes beyond ASCII outside of quotes and comments.
+ *  A quote opens a string only where a key or a value may begin. */
 bool HasUnquotedText(std::string_view line) {
+  constexpr std::string_view kBeforeString = "=[{,.";
   char quote = 0;
+  char before = '=';  // Last character that is no white space.
   for (std::size_t i = 0; i < line.size(); ++i) {
     const char c = line[i];
     if (quote == 0 && c == '#') return false;
     if (quote == 0 && static_cast<unsigned char>(c) >= 0x80) return true;
+    const bool opens = quote == 0 && (c == '"' || c == '\'') &&
+                       kBeforeString.find(before) != std::string_view::npos;
     if (quote == '"' && c == '\\') {
       ++i;
-    } else if (quote == 0 && (c == '"' || c == '\'')) {
+    } else if (opens) {
       quote = c;
     } else if (c == quote) {
       quote = 0;
     }
+    if (c != ' ' && c != '\t') before = c;
   }
   return false;
 }
--- a/packages/edge/relay_codec.cpp
+++ b/packages/edge/relay_codec.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "gateway/http_status.h"
+#include "wire/json_fields.h"
 #include "wire/wire_error.h"
 
 namespace corianderrail::edge {
@@ -24,6 +25,9 @@
 constexpr std::string_view kList = "list";
 constexpr std::string_view kChanges = "changes";
 
+/** Items of a greater age are refused; ages are in microseconds. */
+constexpr double kLongestAgeUs = 1e12;
+
 /** Longest wait that a host grants another one. */
 constexpr std::uint64_t kLongestWaitMs = 30'000;
 
@@ -94,7 +98,7 @@
         {item.key, item.revision, item.removed, Bytes(item.value)}));
   }
   const json document = {{"revision", reply.items.revision},
-                         {"age_us", reply.age.count()},
+                         {"age_us", std::max(reply.age, duration{}).count()},
                          {"items", std::move(items)}};
   const auto bytes = json::to_msgpack(document);
   return {bytes.begin(), bytes.end()};
@@ -107,20 +111,20 @@
   try {
     const json document = json::from_msgpack(body);
     relay_reply reply;
-    reply.items.revision = document.at("revision").get<std::uint64_t>();
-    reply.age = duration(
-        std::max<std::int64_t>(document.at("age_us").get<std::int64_t>(), 0));
+    reply.items.revision = UnsignedOf<std::uint64_t>(document.at("revision"));
+    reply.age = duration(static_cast<duration::rep>(
+        NumberOf(document.at("age_us"), 0, kLongestAgeUs)));
     for (const json& one : document.at("items")) {
       store_item item;
       item.key = one.at(0).get<std::string>();
-      item.revision = one.at(1).get<std::uint64_t>();
+      item.revision = UnsignedOf<std::uint64_t>(one.at(1));
       item.removed = one.at(2).get<bool>();
       const auto& bytes = one.at(3).get_binary();
       item.value.assign(bytes.begin(), bytes.end());
       reply.items.items.push_back(std::move(item));
     }
     return reply;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return store_failure::unreadable;
   }
 }
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -62,6 +62,8 @@
 TEST_CASE("Settings_TextOutsideQuotes_IsRefusedWithLine") {
   CHECK(Faults("\xef\xbb\xbb").find("f.toml:1") != std::string::npos);
   CHECK(Faults("host = \"h\" \xc3\xa9").find("not ASCII") != std::string::npos);
+  CHECK(Faults("zone = -1\"\xef\xbb\xbf\"").find("not ASCII") !=
+        std::string::npos);
   CHECK(Faults("# caf\xc3\xa9\n").find("not ASCII") == std::string::npos);
   CHECK(Faults("host = \"caf\xc3\xa9\"\n").find("not ASCII") ==
         std::string::npos);
--- /dev/null
+++ b/packages/wire/json_fields.h
@@ -0,0 +1,53 @@
+/** @file json_fields.h Strict reading of numbers from JSON objects. */
+
+#pragma once
+
+#include <cmath>
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+namespace corianderrail {
+
+/**
+ * A whole number that is not negative and fits. nlohmann's own conversion
+ * takes any number, and its result is undefined for those that do not fit.
+ * @throws std::exception when the value is anything else.
+ */
+template <std::unsigned_integral Number>
+Number UnsignedOf(const nlohmann::json& value) {
+  if (!value.is_number_unsigned()) {
+    throw std::invalid_argument("not a whole number");
+  }
+  const auto number = value.get<std::uint64_t>();
+  if (number > std::numeric_limits<Number>::max()) {
+    throw std::out_of_range("number is too large");
+  }
+  return static_cast<Number>(number);
+}
+
+/** As above for a member; `fallback` when there is none. */
+template <std::unsigned_integral Number>
+Number UnsignedOr(const nlohmann::json& from, const char* key,
+                  Number fallback) {
+  const auto found = from.find(key);
+  return found == from.end() ? fallback : UnsignedOf<Number>(*found);
+}
+
+/**
+ * A number within bounds.
+ * @throws std::exception when the value is anything else.
+ */
+inline double NumberOf(const nlohmann::json& value, double least, double most) {
+  if (!value.is_number()) throw std::invalid_argument("not a number");
+  const auto number = value.get<double>();
+  if (!(number >= least && number <= most)) {
+    throw std::out_of_range("number is out of bounds");
+  }
+  return number;
+}
+
+}  // namespace corianderrail
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -241,7 +241,7 @@
             self.break_store_path, self.break_leaf, self.break_leaf,
             self.drain_leaf, self.crash_leaf, self.reset_store, self.publish,
             self.compact_store, self.burst, self.clients_leave,
-            self.change_settings])
+            self.change_settings, self.foreign_entry])
         self.counts["faults"] += 1
         await fault()
 
@@ -355,6 +355,16 @@
             writer.close()
         await asyncio.gather(*[leave() for _ in range(20)])
 
+    async def foreign_entry(self):
+        entry = self.leafs[0].entry()
+        entry.update(self.rng.choice([
+            {"Addr": "nowhere"}, {"Addr": "10.0.0.1"}, {"Addr": 7}, {"Slots": -1},
+            {"Slots": 1e30}, {"ColdLeftMs": 1e300}, {"State": "lost"},
+            {"born": "now"}, {"Service": None}]))
+        await self.store.put("servers/i-foreign", entry)
+        await asyncio.sleep(self.rng.uniform(0.5, 2))
+        await self.store.remove("servers/i-foreign")
+
     async def change_settings(self):
         host = self.rng.choice(self.hosts)
         host.seeds = self.rng.sample(range(self.host_count), 2)
