--- a/packages/gateway/leaf_window.cpp
+++ b/packages/gateway/leaf_window.cpp
@@ -19,7 +19,7 @@
 constexpr double kSampleWeight = 0.3;
 
 /** Average wait at which the leaf has a queue, as a multiple of its work. One
- *  request in work and one waiting behind each slot keep a leaf busy. */
+ *  request that waits behind each slot keeps a leaf busy. */
 constexpr double kMostDelay = 1.5;
 
 /** Longer waits count as this multiple of the work: a pause of the leaf, not
@@ -36,7 +36,8 @@
 /** The bound ends when the window has grown by this much. */
 constexpr double kMostGrowth = 20;
 
-/** Less than one: the leaf gets a request now and then. */
+/** Least bound. Callers keep one request open in any case; a bound below one
+ *  takes longer to allow the second. */
 constexpr double kLeast = 0.25;
 
 constexpr double kUnlimited = 1e9;
