Check the length of an answer before memory is reserved for it

Cause: found by fuzzing.

Change: leaf_pool and http_getter read the head alone and check its length.

--- a/packages/edge/http_getter.cpp
+++ b/packages/edge/http_getter.cpp
@@ -68,6 +68,7 @@
   void Start();
   void Limit(duration timeout);
   void Write();
+  void OnHead(error_code error);
   void OnMessage(error_code error);
   void Finish(std::optional<http_result> result);
   void Drop();
@@ -121,14 +122,32 @@
       });
   parser.emplace();
   parser->body_limit(kAnswerLimit);
-  http::async_read(
+  http::async_read_header(
       socket, buffer, *parser,
       [self = shared_from_this(), mine = turn](error_code error, std::size_t) {
         if (mine != self->turn || !self->done) return;
-        self->OnMessage(error);
+        self->OnHead(error);
       });
 }
 
+// Beast reserves memory for the stated length before it compares the length
+// with the limit, so the head is read alone and its length is checked here.
+void http_getter::state::OnHead(error_code error) {
+  const bool huge =
+      !error && parser->content_length().value_or(0) > kAnswerLimit;
+  if (huge) error = http::make_error_code(http::error::body_limit);
+  if (error || parser->is_done()) {
+    OnMessage(error);
+    return;
+  }
+  http::async_read(socket, buffer, *parser,
+                   [self = shared_from_this(), mine = turn](error_code failure,
+                                                            std::size_t) {
+                     if (mine != self->turn || !self->done) return;
+                     self->OnMessage(failure);
+                   });
+}
+
 void http_getter::state::OnMessage(error_code error) {
   if (error) {
     Finish(std::nullopt);
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -139,6 +139,7 @@
   using parser = http::response_parser<http::string_body>;
 
   void StartRead();
+  void OnHead(error_code error);
   void OnAnswer(error_code error);
   void Finish();
   void BecomeIdle();
@@ -207,10 +208,29 @@
   parser_->body_limit(kAnswerLimit);
   parser_->header_limit(kAnswerHeaderLimit);
   if (current_->request->method == "HEAD") parser_->skip(true);
-  http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](error_code error, std::size_t) {
-                     self->OnAnswer(error);
-                   });
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+// Beast reserves memory for the stated length before it compares the length
+// with the limit, so the head is read alone and its length is checked here.
+void leaf_pool::state::connection::OnHead(error_code error) {
+  if (closed_ || !current_) return;
+  const bool huge =
+      !error && parser_->content_length().value_or(0) > kAnswerLimit;
+  if (huge) error = http::make_error_code(http::error::body_limit);
+  if (error || parser_->is_done()) {
+    OnAnswer(error);
+    return;
+  }
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code failure, std::size_t) {
+        self->OnAnswer(failure);
+      });
 }
 
 void leaf_pool::state::connection::OnAnswer(error_code error) {
--- a/packages/edge/tests/http_getter_test.cpp
+++ b/packages/edge/tests/http_getter_test.cpp
@@ -81,6 +81,13 @@
   CHECK(result_->body == "ok");
 }
 
+// Guards against a length for which no memory can be had.
+TEST_CASE_METHOD(getter_fixture, "Getter_AnswerStatesHugeLength_Fails") {
+  Serve("HTTP/1.1 200 OK\r\nContent-Length: 6148914691236517203\r\n\r\nok");
+  Read(seconds(5));
+  CHECK_FALSE(result_);
+}
+
 // Guards against a connect that hangs for as long as a watch may wait: a host
 // whose partition healed would not learn of changes for half a minute.
 TEST_CASE_METHOD(getter_fixture, "Getter_ConnectHangs_FailsLongBeforeWatch") {
--- a/packages/edge/tests/http_port_test.cpp
+++ b/packages/edge/tests/http_port_test.cpp
@@ -125,7 +125,8 @@
       "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
       "Content-Length: -3\r\n", "Content-Length: +3\r\n",
       "Content-Length: 3, 3\r\n", "Content-Length: 0x3\r\n",
-      "Content-Length: 99999999999999999999\r\n", "Content-Length : 3\r\n",
+      "Content-Length: 99999999999999999999\r\n",
+      "Content-Length: 6148914691236517203\r\n", "Content-Length : 3\r\n",
       "Host: other\r\n");
   const auto answer = Exchange("POST /x HTTP/1.1\r\nHost: h\r\n" + fields +
                                    "\r\nabc" + std::string(kHidden),
--- a/packages/edge/tests/leaf_pool_test.cpp
+++ b/packages/edge/tests/leaf_pool_test.cpp
@@ -179,6 +179,19 @@
   CHECK(accepted_ == 2);
 }
 
+// Guards against a length for which no memory can be had, found by fuzzing:
+// the parser reserves it before it compares it with the limit.
+TEST_CASE_METHOD(pool_fixture, "Pool_AnswerStatesHugeLength_IsAFailure") {
+  const std::string length =
+      GENERATE("6148914691236517203", "18446744073709551615", "4000000000");
+  script_ = {
+      {"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Stamp: p\r\n"
+       "Content-Length: " +
+       length + "\r\n\r\nok"}};
+  Send("a");
+  CHECK(Outcome(1) == "-");
+}
+
 // Guards against answers that end early and look complete.
 TEST_CASE_METHOD(pool_fixture, "Pool_AnswerIncomplete_IsAFailure") {
   std::string whole = Answer("a", "0123456789");
--- a/tests/fuzz/message_fuzz.cpp
+++ b/tests/fuzz/message_fuzz.cpp
@@ -20,14 +20,22 @@
 
 constexpr std::string_view kInstance = "i-1";
 
+/** Largest body, as leaf_pool takes it. */
+constexpr std::uint64_t kBodyLimit = 8u << 20;
+
 /** Parses one whole message; nothing when the bytes are no such message. */
 template <bool IsRequest>
 std::optional<http::message<IsRequest, http::string_body>> Parse(
     const char* data, std::size_t size, std::size_t* used) {
   http::parser<IsRequest, http::string_body> parser;
-  parser.eager(true);
   boost::system::error_code error;
   *used = parser.put(boost::asio::buffer(data, size), error);
+  if (error || !parser.is_header_done()) return std::nullopt;
+  if (parser.content_length().value_or(0) > kBodyLimit) return std::nullopt;
+  parser.eager(true);
+  if (!parser.is_done()) {
+    *used += parser.put(boost::asio::buffer(data + *used, size - *used), error);
+  }
   if (error || !parser.is_done()) return std::nullopt;
   return parser.release();
 }
