Keep the size of the fleet once in the gateway; read the settings file once a look

The gateway held three values of the last fleet_event beside the event itself, looked up a leaf's unloaded latency twice for each send, and room_queue had an unused Size(). The first look at the settings file read it twice.

--- a/packages/edge/edge_reload.cpp
+++ b/packages/edge/edge_reload.cpp
@@ -28,8 +28,9 @@
 
 /** Looks at the file now and then. */
 void edge_process::state::WatchSettings() {
-  if (settings_text.empty()) settings_text = TextOf(path);
-  if (TextOf(path) != settings_text) Reload();
+  const std::string text = TextOf(path);
+  if (settings_text.empty()) settings_text = text;
+  if (text != settings_text) Reload();
   settings_timer.expires_after(kSettingsPeriod);
   settings_timer.async_wait([this](error_code error) {
     if (!error) WatchSettings();
--- a/packages/edge/line_writer.cpp
+++ b/packages/edge/line_writer.cpp
@@ -15,7 +15,7 @@
  *  mixed with others, and readers that cut long writes lose no line. */
 constexpr std::size_t kMostWrite = 4096;
 
-/** Length of the whole lines at the begin of `text` that fit into one write;
+/** Length of the whole lines at the start of `text` that fit into one write;
  *  of the first line if it alone is longer. */
 std::size_t WholeLines(std::string_view text) {
   if (text.size() <= kMostWrite) return text.size();
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -223,7 +223,7 @@
                         : "removed"}}});
   }
   for (const std::string& service : touched) {
-    if (is_entry_ && SendsTo(service)) {
+    if (fleet_.is_entry && SendsTo(service)) {
       for (leaf_state* leaf : directory_.Of(service)) Connect(*leaf);
     }
     ServeWaiting(*Service(service), now);
@@ -232,11 +232,8 @@
 }
 
 void gateway::On(fleet_event& happening, time_point) {
-  near_fleet_ = happening.own_region;
-  far_fleet_ = happening.other_regions;
+  const bool joins = happening.is_entry && !fleet_.is_entry;
   fleet_ = happening;
-  const bool joins = happening.is_entry && !is_entry_;
-  is_entry_ = happening.is_entry;
   if (joins) ConnectAll();
   ShareSlack();
 }
@@ -338,7 +335,7 @@
 
 /** Opens a connection to each leaf before the first request needs it. */
 void gateway::ConnectAll() {
-  if (!is_entry_) return;
+  if (!fleet_.is_entry) return;
   directory_.Visit([&](leaf_state& leaf) {
     if (SendsTo(leaf.record.service)) Connect(leaf);
   });
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -147,11 +147,8 @@
   gateway_settings settings_;
   std::unique_ptr<route_table> routes_;
   leaf_directory directory_;
-  fleet_size near_fleet_;
-  fleet_size far_fleet_;
   fleet_event fleet_;  ///< As last told.
   double slack_share_ = 0;
-  bool is_entry_ = true;
   bool registry_complete_ = false;
   time_point started_{};  ///< First event.
   std::set<std::string, std::less<>> named_services_;
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -50,14 +50,14 @@
   const std::uint32_t most =
       service == services_.end() ? 0 : service->second->max_connections;
   const bool near = settings_.here.SameRegion(leaf.record.zone);
-  std::uint32_t share =
-      ConnectionShare(most, near ? near_fleet_ : far_fleet_, near);
+  std::uint32_t share = ConnectionShare(
+      most, near ? fleet_.own_region : fleet_.other_regions, near);
   // The leaf may still count the connections of the process before this one.
   if (now < started_ + kYoungTime) {
     share = std::max(share / kYoungDivisor, 1u);
   }
   // The hosts near a leaf together keep its slots busy.
-  const std::uint32_t hosts = std::max(near_fleet_.near_hosts, 1u);
+  const std::uint32_t hosts = std::max(fleet_.own_region.near_hosts, 1u);
   const std::uint32_t least =
       near ? (leaf.record.slots + hosts - 1) / hosts : 1;
   const double window =
@@ -156,7 +156,7 @@
   const bool may_hedge =
       one.Idempotent() && piece.asked.size() < one.matched->attempts;
   piece.hedge_at = may_hedge ? late_at : kNever;
-  const duration unloaded = one.stats->Unloaded(leaf.record.zone);
+  const duration unloaded = candidates_[candidate].unloaded;
   const duration work = one.stats->Work();
   leaf.evidence.OnSent(
       {call, now, inputs.expected, unloaded, work, late_at - now});
--- a/packages/gateway/room_queue.h
+++ b/packages/gateway/room_queue.h
@@ -30,7 +30,6 @@
 class room_queue {
  public:
   bool Empty() const { return waiting_.empty(); }
-  std::size_t Size() const { return waiting_.size(); }
 
   /** Queues a part. @param usual Usual time between two answers. */
   void Add(const waiting_part& part, duration usual, time_point now);
