Decide the reads of the store without I/O

store_link mixed what a host reads, from where and for how long with sockets, so no test could play a fleet that follows the store. store_reader now holds those decisions; store_link carries them out.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -183,7 +183,7 @@
   link.zone = settings.zone;
   link.seed = RandomSeed();
   link.members = [this] { return std::span(members); };
-  link.on_update = [this](const store_update& update) {
+  link.on_update = [this](const gateway::store_update& update) {
     OnStoreUpdate(update);
   };
   link.on_source = [this](std::string_view source, bool reachable) {
@@ -194,13 +194,13 @@
   return link;
 }
 
-void edge_process::state::OnStoreUpdate(const store_update& update) {
+void edge_process::state::OnStoreUpdate(const gateway::store_update& update) {
   relay.Publish(update.changes, update.revision, update.confirmed);
   for (const gateway::store_item& item : update.changes) {
     if (item.key == platform::kConfigKey && !item.removed) OnConfig(item);
   }
   OnLeafs(update.changes);
-  peers.SetRevision(store.NewestRevision());
+  peers.SetRevision(store.Reader().NewestRevision());
   CheckReady();
 }
 
@@ -231,13 +231,13 @@
     }
     event.changes.push_back(std::move(change));
   }
-  event.complete = store.Listed();
+  event.complete = store.Reader().Listed();
   const bool completes = event.complete && !ready;
   if (completes || !event.changes.empty()) Reduce(std::move(event));
 }
 
 void edge_process::state::CheckReady() {
-  const bool serves = core.CanServe() && store.Listed();
+  const bool serves = core.CanServe() && store.Reader().Listed();
   if (ready || stopping || !serves) return;
   ready = true;
   log.WriteEvent("ready", {});
@@ -350,7 +350,7 @@
 /** Switches to another source when peers report a change that
  *  has not reached this host within a delay. */
 void edge_process::state::CheckRevisionLag() {
-  const std::uint64_t own = store.CompleteRevision();
+  const std::uint64_t own = store.Reader().CompleteRevision();
   const std::uint64_t known = peers.HighestRevision();
   if (!revision_lag.Overdue(own, known, Now())) return;
   if (!store.SwitchSource(known)) return;
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -1,8 +1,7 @@
-/** @file store_link.cpp Reads for a store_follower over HTTP. */
+/** @file store_link.cpp Reads for a store_reader over HTTP. */
 
 #include "edge/store_link.h"
 
-#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -16,13 +15,6 @@
 using gateway::store_failure;
 using gateway::store_read;
 
-/** Longest wait of a watch at a peer. Each answer states the age of the peer's
- *  items, so a short wait shows early when they are too old. */
-constexpr duration kMaxPeerWait = std::chrono::seconds(2);
-
-/** Time for the answer of a peer in addition to the wait. */
-constexpr duration kPeerTimeout = std::chrono::milliseconds(1200);
-
 constexpr std::string_view kStoreSource = "store";
 
 }  // namespace
@@ -33,8 +25,7 @@
       settings_(std::move(settings)),
       timer_(io),
       store_(io, settings_.store_address),
-      follower_({}, settings_.seed),
-      sources_(settings_.self, {}),
+      reader_({settings_.self, settings_.zone, settings_.seed}),
       reported_source_(kStoreSource) {}
 
 void store_link::Start() { ReadNext(); }
@@ -42,8 +33,7 @@
 // The open watch did not return the change, so its connection may be stalled.
 bool store_link::SwitchSource(std::uint64_t missing) {
   if (store_.Receiving() || (peer_ && peer_->Receiving())) return false;
-  missing_ = missing;
-  sources_.OnFailure(Now());
+  reader_.OnOverdue(missing, Now());
   RestartRead();
   return true;
 }
@@ -58,25 +48,22 @@
 void store_link::RestartRead() {
   store_.Cancel();
   if (peer_) peer_->Cancel();
-  follower_.ReadNow(Now());
+  reader_.ReadNow(Now());
   ReadNext();
 }
 
 void store_link::ReadNext() {
-  const auto read = follower_.Next(Now());
-  if (read) {
-    if (CompleteRevision() >= missing_) missing_ = 0;
-    const auto source = sources_.Choose(settings_.members(), settings_.zone,
-                                        follower_.Listed(), Now(), missing_);
-    if (source) {
-      ReadPeer(*source, *read);
+  const auto due = reader_.Next(settings_.members(), Now());
+  if (due) {
+    if (due->peer) {
+      ReadPeer(*due->peer, due->read);
     } else {
-      ReadStore(*read);
+      ReadStore(due->read);
     }
     return;
   }
-  if (follower_.NextWake() == kNever) return;
-  timer_.expires_at(SteadyTime(follower_.NextWake()));
+  if (reader_.NextWake() == kNever) return;
+  timer_.expires_at(SteadyTime(reader_.NextWake()));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) ReadNext();
   });
@@ -106,13 +93,8 @@
     peer_ = std::make_unique<http_getter>(io_, address);
     peer_address_ = address;
   }
-  // A listing waits too, because the peer may be starting and have no items
-  // yet.
-  const duration wait = read.kind == gateway::store_read_kind::list
-                            ? kMaxPeerWait / 2
-                            : std::min(read.wait, kMaxPeerWait);
-  const relay_request request{read.kind, read.revision, wait};
-  peer_->Get(EncodeRelayRequest(request), wait + kPeerTimeout,
+  const relay_request request{read.kind, read.revision, read.wait};
+  peer_->Get(EncodeRelayRequest(request), read.timeout,
              [this](std::optional<http_result> result) {
                if (!result) {
                  OnFailure(store_failure::unreachable);
@@ -129,42 +111,33 @@
 }
 
 void store_link::OnReply(gateway::store_reply reply, duration age) {
-  const time_point now = Now();
-  store_update update;
-  update.changes =
-      follower_.OnReply(std::move(reply), now, sources_.ReadsStore());
-  sources_.OnAnswer(age, now);
-  // A listing is ordered by key.
-  for (const gateway::store_item& item : update.changes) {
-    newest_revision_ = std::max(newest_revision_, item.revision);
-  }
-  ReportSource(
-      sources_.ReadsStore() ? kStoreSource : std::string_view(peer_address_),
-      true);
-  Publish(std::move(update));
-  ReadNext();
-}
-
-void store_link::Publish(store_update update) {
-  update.revision = follower_.Listed() ? follower_.Revision() : 0;
-  update.confirmed = Now() - sources_.Age(Now());
-  settings_.on_update(update);
+  const auto update = reader_.OnReply(std::move(reply), age, Now());
+  ReportSource(Source(), true);
+  Finish(update);
 }
 
 void store_link::OnFailure(store_failure failure) {
-  const bool was_listed = follower_.Listed();
-  follower_.OnFailure(failure, Now());
-  if (follower_.Listed() && !was_listed) Publish({});
-  if (failure != store_failure::compacted && !reconnecting_) {
+  if (reconnecting_) {
+    Finish(reader_.OnCanceled(Now()));
+    return;
+  }
+  const auto update = reader_.OnFailure(failure, Now());
+  if (failure != store_failure::compacted) {
     ++failures_;
-    sources_.OnFailure(Now());
-    ReportSource(
-        sources_.ReadsStore() ? kStoreSource : std::string_view(peer_address_),
-        false);
+    ReportSource(Source(), false);
   }
+  Finish(update);
+}
+
+void store_link::Finish(const std::optional<gateway::store_update>& update) {
+  if (update) settings_.on_update(*update);
   ReadNext();
 }
 
+std::string_view store_link::Source() const {
+  return reader_.ReadsStore() ? kStoreSource : std::string_view(peer_address_);
+}
+
 void store_link::ReportSource(std::string_view source, bool reachable) {
   if (reported_reachable_ == reachable && reported_source_ == source) return;
   reported_reachable_ = reachable;
--- a/packages/edge/tests/store_link_test.cpp
+++ b/packages/edge/tests/store_link_test.cpp
@@ -35,7 +35,7 @@
     settings.store_address = address_;
     settings.zone = "a";
     settings.members = [] { return std::span<const member_record>(); };
-    settings.on_update = [this](const store_update& update) {
+    settings.on_update = [this](const gateway::store_update& update) {
       for (const auto& item : update.changes) keys_.push_back(item.key);
     };
     settings.on_source = [](std::string_view, bool) {};
@@ -55,11 +55,11 @@
   /** Runs until all items were read. */
   void ReadAll() {
     link_->Start();
-    for (int i = 0; i < 200 && !link_->Listed(); ++i) {
+    for (int i = 0; i < 200 && !link_->Reader().Listed(); ++i) {
       io_.restart();
       io_.run_for(milliseconds(10));
     }
-    REQUIRE(link_->Listed());
+    REQUIRE(link_->Reader().Listed());
   }
 
  protected:
@@ -86,15 +86,15 @@
   CHECK(targets_[0] == "/v1/kv-range?Prefix=&AllowStale=1");
   CHECK(targets_[1] == "/v1/kv-watch?Prefix=&after=9&WaitMs=0");
   CHECK(keys_ == std::vector<std::string>{"z", "zz", "z"});
-  CHECK(link_->NewestRevision() == 10);
+  CHECK(link_->Reader().NewestRevision() == 10);
 }
 
 // Guards against a restarted host that looks for a change which it already has:
 // the newest change was a removal, which no listing contains.
 TEST_CASE_METHOD(link_fixture, "Link_NewestChangeIsARemoval_MissesNothing") {
   ReadAll();
-  CHECK(link_->NewestRevision() == 3);
-  CHECK(link_->CompleteRevision() == 9);
+  CHECK(link_->Reader().NewestRevision() == 3);
+  CHECK(link_->Reader().CompleteRevision() == 9);
 }
 
 }  // namespace corianderrail::edge
--- /dev/null
+++ b/packages/gateway/store_reader.cpp
@@ -0,0 +1,86 @@
+/** @file store_reader.cpp Reads of the store or of a peer. */
+
+#include "gateway/store_reader.h"
+
+#include <utility>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+/** Longest wait of a watch at a peer. Each answer states the age of the peer's
+ *  items, so a short wait shows early when they are too old. */
+constexpr duration kMaxPeerWait = std::chrono::seconds(2);
+
+/** Time for the answer of a peer in addition to the wait. */
+constexpr duration kPeerTimeout = std::chrono::milliseconds(1200);
+
+}  // namespace
+
+store_reader::store_reader(store_reader_settings settings)
+    : zone_(std::move(settings.zone)),
+      follower_({}, settings.seed),
+      sources_(settings.self, {}) {}
+
+std::optional<sourced_read> store_reader::Next(
+    std::span<const member_record> members, time_point now) {
+  auto read = follower_.Next(now);
+  if (!read) return std::nullopt;
+  if (CompleteRevision() >= missing_) missing_ = 0;
+  sourced_read result{
+      sources_.Choose(members, zone_, follower_.Listed(), now, missing_),
+      std::move(*read)};
+  if (result.peer) {
+    // A listing waits too, because the peer may be starting and have no items
+    // yet.
+    const bool list = result.read.kind == store_read_kind::list;
+    result.read.wait =
+        list ? kMaxPeerWait / 2 : std::min(result.read.wait, kMaxPeerWait);
+    result.read.timeout = result.read.wait + kPeerTimeout;
+  }
+  return result;
+}
+
+store_update store_reader::OnReply(store_reply reply, duration age,
+                                   time_point now) {
+  auto changes =
+      follower_.OnReply(std::move(reply), now, sources_.ReadsStore());
+  sources_.OnAnswer(age, now);
+  // A listing is ordered by key.
+  for (const store_item& item : changes) {
+    newest_revision_ = std::max(newest_revision_, item.revision);
+  }
+  return UpdateOf(std::move(changes), now);
+}
+
+std::optional<store_update> store_reader::OnFailure(store_failure failure,
+                                                    time_point now) {
+  const bool was_listed = follower_.Listed();
+  follower_.OnFailure(failure, now);
+  if (failure != store_failure::compacted) sources_.OnFailure(now);
+  if (was_listed || !follower_.Listed()) return std::nullopt;
+  return UpdateOf({}, now);
+}
+
+std::optional<store_update> store_reader::OnCanceled(time_point now) {
+  const bool was_listed = follower_.Listed();
+  follower_.OnFailure(store_failure::unreachable, now);
+  if (was_listed || !follower_.Listed()) return std::nullopt;
+  return UpdateOf({}, now);
+}
+
+void store_reader::OnOverdue(std::uint64_t missing, time_point now) {
+  missing_ = missing;
+  sources_.OnFailure(now);
+}
+
+store_update store_reader::UpdateOf(std::vector<store_item> changes,
+                                    time_point now) const {
+  store_update update;
+  update.changes = std::move(changes);
+  update.revision = follower_.Listed() ? follower_.Revision() : 0;
+  update.confirmed = now - sources_.Age(now);
+  return update;
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/store_reader.h
@@ -0,0 +1,96 @@
+/** @file store_reader.h Decides when a host reads the store's items, and where.
+ */
+
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "core/member_type.h"
+#include "gateway/source_choice.h"
+#include "gateway/store_follower.h"
+
+namespace corianderrail::gateway {
+
+/** Changes of the items of this host, or of their state. */
+struct store_update {
+  std::vector<store_item> changes;  ///< New, in order of revision.
+  /** All changes up to this revision were read; 0 before all items were. */
+  std::uint64_t revision = 0;
+  time_point confirmed{};  ///< When the store last confirmed the items.
+};
+
+/** A read and its receiver. */
+struct sourced_read {
+  std::optional<std::string> peer;  ///< Peer address; empty for the store.
+  store_read read;                  ///< Its wait and timeout fit the receiver.
+};
+
+/** Identity of a store_reader. */
+struct store_reader_settings {
+  host_id self{};          ///< This host.
+  std::string zone;        ///< Its availability zone.
+  std::uint64_t seed = 0;  ///< Of the random backoff.
+};
+
+/**
+ * Follows the items of the store, directly or through a peer. The caller
+ * carries out the reads. One read is open at a time.
+ */
+class store_reader {
+ public:
+  explicit store_reader(store_reader_settings settings);
+
+  /** The read that is due now, if any; open until it ends. */
+  std::optional<sourced_read> Next(std::span<const member_record> members,
+                                   time_point now);
+
+  /** When the next read is due; kNever while one is open. */
+  time_point NextWake() const { return follower_.NextWake(); }
+
+  /** The open read was answered.
+   *  @param age Time since the store confirmed the items; 0 for the store. */
+  store_update OnReply(store_reply reply, duration age, time_point now);
+
+  /** The open read failed.
+   *  @return The state of the items if they became usable, else nothing. */
+  std::optional<store_update> OnFailure(store_failure failure, time_point now);
+
+  /** The open read was canceled for a reason that is no fault of its source. */
+  std::optional<store_update> OnCanceled(time_point now);
+
+  /** Peers know a change that the present source has not delivered in time. */
+  void OnOverdue(std::uint64_t missing, time_point now);
+
+  /** Makes the next read due now. */
+  void ReadNow(time_point now) { follower_.ReadNow(now); }
+
+  bool Listed() const { return follower_.Listed(); }
+
+  /** True when the store was chosen last. */
+  bool ReadsStore() const { return sources_.ReadsStore(); }
+
+  /** Revision of the newest change that was read; 0 before the first. */
+  std::uint64_t NewestRevision() const { return newest_revision_; }
+
+  /** No change up to this revision is missing here. A listing does not contain
+   *  removals, so it can exceed the newest change. */
+  std::uint64_t CompleteRevision() const {
+    return std::max(newest_revision_, follower_.Revision());
+  }
+
+ private:
+  store_update UpdateOf(std::vector<store_item> changes, time_point now) const;
+
+  std::string zone_;
+  store_follower follower_;
+  source_choice sources_;
+  std::uint64_t newest_revision_ = 0;
+  std::uint64_t missing_ = 0;  ///< A change that peers know; 0 for none.
+};
+
+}  // namespace corianderrail::gateway
