Log why and after how long a source was lost, and show the age of items

On-call engineers could not tell a read that hung from one that was refused, nor a host that reads from another outdated host: source_lost had neither failure nor time, and no metric showed what a host knows of the store. source_lost now has failure and read_us; the gauges store_revision and store_items_age_microseconds were added.

--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -101,6 +101,8 @@
     from.relay_calls = store.RelayCalls();
     from.store_calls = store.StoreCalls();
     from.store_failures = store.Failures();
+    from.store_revision = store.Reader().CompleteRevision();
+    from.items_age = store.Reader().Age(Now());
     from.log_lines_dropped = lines.Dropped() + log.Suppressed();
     from.ready = ready;
     metrics_server.Reply(id, {gateway::kStatusOk,
--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -99,6 +99,14 @@
     {"store_failures_total", "counter",
      "Failed reads of store items, from either source.",
      [](const snapshot& s) { return s.store_failures; }},
+    {"store_revision", "gauge",
+     "Store revision up to which this host has read all changes.",
+     [](const snapshot& s) { return s.store_revision; }},
+    {"store_items_age_microseconds", "gauge",
+     "Time since the store last confirmed the configuration and the leafs.",
+     [](const snapshot& s) {
+       return static_cast<std::uint64_t>(s.items_age.count());
+     }},
     {"log_lines_dropped_total", "counter", "Log lines that were not written.",
      [](const snapshot& s) { return s.log_lines_dropped; }},
     {"ready", "gauge", "1 while this host accepts clients.",
--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "core/time_type.h"
 #include "edge/http_server.h"
 #include "edge/leaf_pool.h"
 #include "edge/peer_link.h"
@@ -29,6 +30,8 @@
   gateway::store_read_counts store_calls{};  ///< Reads from the store.
   std::uint64_t relay_calls = 0;             ///< Reads from other hosts.
   std::uint64_t store_failures = 0;          ///< Failed reads of both kinds.
+  std::uint64_t store_revision = 0;  ///< All changes up to it were read.
+  duration items_age{};  ///< Since the store last confirmed the items.
   std::uint64_t log_lines_dropped = 0;  ///< Log lines that were not written.
   bool ready = false;                   ///< This host accepts clients.
 };
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <random>
@@ -49,6 +50,10 @@
 /** Shortest interval between two applications of changed members. */
 constexpr std::chrono::milliseconds kMembersPeriod{50};
 
+/** Names in log lines, by store_failure. */
+constexpr std::array<std::string_view, 4> kStoreFailureNames = {
+    "unreachable", "refused", "compacted", "unreadable"};
+
 std::uint64_t RandomSeed() {
   std::random_device source;
   return (std::uint64_t{source()} << 32) ^ source();
@@ -186,14 +191,24 @@
   link.on_update = [this](const gateway::store_update& update) {
     OnStoreUpdate(update);
   };
-  link.on_source = [this](std::string_view source, bool reachable) {
-    const decision_input inputs[] = {{"source", std::string(source)}};
-    log.WriteEvent(reachable ? "source_in_use" : "source_lost", inputs);
-    if (!core.CanServe()) Reduce(gateway::startup_event{!reachable});
-  };
+  link.on_source = [this](const source_change& change) { OnSource(change); };
   return link;
 }
 
+void edge_process::state::OnSource(const source_change& change) {
+  std::vector<decision_input> inputs = {
+      {"source", std::string(change.source)},
+      {"read_us", std::to_string(change.read_time.count())}};
+  if (change.failure) {
+    const auto index = static_cast<std::size_t>(*change.failure);
+    inputs.push_back({"failure", std::string(kStoreFailureNames[index])});
+  }
+  log.WriteEvent(change.failure ? "source_lost" : "source_in_use", inputs);
+  if (!core.CanServe()) {
+    Reduce(gateway::startup_event{change.failure.has_value()});
+  }
+}
+
 void edge_process::state::OnStoreUpdate(const gateway::store_update& update) {
   relay.Publish(update.changes, update.revision, update.confirmed);
   for (const gateway::store_item& item : update.changes) {
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -61,6 +61,7 @@
   http_handler LookupHandler();
   http_handler MetricsHandler();
   store_link_settings StoreLinkSettings();
+  void OnSource(const source_change& change);
   void OnStoreUpdate(const gateway::store_update& update);
   void OnConfig(const gateway::store_item& item);
   void OnLeafs(std::span<const gateway::store_item> changes);
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -55,6 +55,7 @@
 void store_link::ReadNext() {
   const auto due = reader_.Next(settings_.members(), Now());
   if (due) {
+    read_began_ = Now();
     if (due->peer) {
       ReadPeer(*due->peer, due->read);
     } else {
@@ -112,7 +113,7 @@
 
 void store_link::OnReply(gateway::store_reply reply, duration age) {
   const auto update = reader_.OnReply(std::move(reply), age, Now());
-  ReportSource(Source(), true);
+  ReportSource({});
   Finish(update);
 }
 
@@ -124,7 +125,7 @@
   const auto update = reader_.OnFailure(failure, Now());
   if (failure != store_failure::compacted) {
     ++failures_;
-    ReportSource(Source(), false);
+    ReportSource(failure);
   }
   Finish(update);
 }
@@ -138,11 +139,12 @@
   return reader_.ReadsStore() ? kStoreSource : std::string_view(peer_address_);
 }
 
-void store_link::ReportSource(std::string_view source, bool reachable) {
-  if (reported_reachable_ == reachable && reported_source_ == source) return;
-  reported_reachable_ = reachable;
+void store_link::ReportSource(std::optional<store_failure> failure) {
+  const std::string_view source = Source();
+  if (reported_reachable_ == !failure && reported_source_ == source) return;
+  reported_reachable_ = !failure;
   reported_source_ = std::string(source);
-  settings_.on_source(source, reachable);
+  settings_.on_source({source, failure, Now() - read_began_});
 }
 
 }  // namespace corianderrail::edge
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -20,6 +20,14 @@
 
 namespace corianderrail::edge {
 
+/** The source of the items was lost, recovered or changed. */
+struct source_change {
+  std::string_view source;  ///< "store" or a peer address.
+  /** Why the last read failed; empty when it was answered. */
+  std::optional<gateway::store_failure> failure;
+  duration read_time{};  ///< How long the last read was open.
+};
+
 /** Settings and callbacks of a store_link. */
 struct store_link_settings {
   std::string store_address;  ///< Metadata store.
@@ -30,9 +38,7 @@
       members;  ///< Hosts known now.
   std::function<void(const gateway::store_update&)>
       on_update;  ///< After each answer.
-  /** Called when the source was lost, recovered or changed. `source` is "store"
-   *  or a peer address. */
-  std::function<void(std::string_view source, bool reachable)> on_source;
+  std::function<void(const source_change&)> on_source;
 };
 
 /** Carries out the reads of a store_reader. */
@@ -67,7 +73,7 @@
   std::string_view Source() const;
   void Finish(const std::optional<gateway::store_update>& update);
   void RestartRead();
-  void ReportSource(std::string_view source, bool reachable);
+  void ReportSource(std::optional<gateway::store_failure> failure);
 
   boost::asio::io_context& io_;
   store_link_settings settings_;
@@ -76,6 +82,7 @@
   std::unique_ptr<http_getter> peer_;
   std::string peer_address_;
   gateway::store_reader reader_;
+  time_point read_began_{};  ///< Start of the last read.
   std::string reported_source_;
   bool reported_reachable_ = true;
   bool reconnecting_ = false;  ///< A canceled read is not a failure.
--- a/packages/edge/tests/edge_metrics_test.cpp
+++ b/packages/edge/tests/edge_metrics_test.cpp
@@ -43,4 +43,16 @@
   }
 }
 
+// Guards against hosts whose knowledge of the store cannot be compared.
+TEST_CASE("Metrics_ItemsOfTheStore_ShowRevisionAndAge") {
+  edge_metrics_snapshot snapshot;
+  snapshot.store_revision = 41;
+  snapshot.items_age = std::chrono::milliseconds(1500);
+  const std::string text = MetricsText(snapshot);
+  CHECK(CountLine(text, "corianderrail_edge_store_revision 41") == 1);
+  CHECK(CountLine(text,
+                  "corianderrail_edge_store_items_age_microseconds 1500000") ==
+        1);
+}
+
 }  // namespace corianderrail::edge
--- a/packages/edge/tests/store_link_test.cpp
+++ b/packages/edge/tests/store_link_test.cpp
@@ -38,7 +38,7 @@
     settings.on_update = [this](const gateway::store_update& update) {
       for (const auto& item : update.changes) keys_.push_back(item.key);
     };
-    settings.on_source = [](std::string_view, bool) {};
+    settings.on_source = [](const source_change&) {};
     link_ = std::make_unique<store_link>(io_, settings);
   }
 
--- a/packages/gateway/store_reader.h
+++ b/packages/gateway/store_reader.h
@@ -74,6 +74,9 @@
   /** True when the store was chosen last. */
   bool ReadsStore() const { return sources_.ReadsStore(); }
 
+  /** Time since the store last confirmed the items. */
+  duration Age(time_point now) const { return sources_.Age(now); }
+
   /** Revision of the newest change that was read; 0 before the first. */
   std::uint64_t NewestRevision() const { return newest_revision_; }
 
