--- /dev/null
+++ b/packages/gateway/tests/store_simulation.cpp
@@ -0,0 +1,229 @@
+/** @file store_simulation.cpp Model of the store, the network and the relay. */
+
+#include "store_simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/host_address.h"
+
+namespace corianderrail::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration kStep = milliseconds(10);
+constexpr duration kAnswerTime = milliseconds(20);
+constexpr duration kLagCheckPeriod = milliseconds(200);
+constexpr std::size_t kReportDelaySteps = 30;
+
+/** TCP reports a connection that acknowledges nothing after this time. */
+constexpr duration kUserTimeout = milliseconds(3000);
+
+constexpr std::size_t kZones = 3;
+const std::string kConfigKey = "config";
+
+}  // namespace
+
+store_simulation::store_simulation(std::size_t hosts, std::uint64_t seed)
+    : seed_(seed) {
+  for (std::size_t i = 0; i < hosts; ++i) {
+    hosts_.push_back(MakeHost(i));
+    member_record member;
+    member.peer_address = hosts_.back().address;
+    member.ref.host = HostIdOf(member.peer_address);
+    member.zone = std::to_string(i % kZones);
+    member.capacity = 250;
+    members_.push_back(member);
+  }
+}
+
+store_simulation::host store_simulation::MakeHost(std::size_t number) {
+  const std::string address = "10.0.0." + std::to_string(number) + ":1";
+  const std::uint64_t seed = seed_ * 1000 + number * 10 + restarts_ * 7919;
+  store_reader_settings settings{HostIdOf(address),
+                                 std::to_string(number % kZones), seed};
+  return {address, store_reader(settings), {}, {}, {}, 0, {}, {}, {}};
+}
+
+void store_simulation::Run(duration length) {
+  for (const time_point end = now_ + length; now_ < end;) Step();
+}
+
+time_point store_simulation::Change() {
+  ++revision_;
+  return now_;
+}
+
+void store_simulation::StallConnections() {
+  for (host& one : hosts_) {
+    for (auto& [address, kept] : one.connections) {
+      if (kept.open) kept.stalled = std::min(kept.stalled, now_);
+    }
+  }
+}
+
+void store_simulation::SetMode(std::size_t host, store_mode mode) {
+  hosts_[host].mode = mode;
+}
+
+void store_simulation::SetMode(store_mode mode) {
+  for (host& one : hosts_) one.mode = mode;
+}
+
+void store_simulation::Restart(std::size_t host) {
+  ++restarts_;
+  const store_mode mode = hosts_[host].mode;
+  hosts_[host] = MakeHost(host);
+  hosts_[host].mode = mode;
+}
+
+std::size_t store_simulation::Outdated() const {
+  return static_cast<std::size_t>(
+      std::count_if(hosts_.begin(), hosts_.end(),
+                    [&](const host& one) { return one.config < revision_; }));
+}
+
+void store_simulation::Step() {
+  now_ += kStep;
+  ShareRevisions();
+  const bool check = now_.time_since_epoch() % kLagCheckPeriod == duration{};
+  for (host& one : hosts_) {
+    if (check) CheckLag(one);
+    StepHost(one);
+  }
+}
+
+void store_simulation::ShareRevisions() {
+  std::vector<std::uint64_t> current;
+  for (const host& one : hosts_) current.push_back(one.reader.NewestRevision());
+  reported_.push_back(std::move(current));
+  if (reported_.size() <= kReportDelaySteps) return;
+  reported_.pop_front();
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    members_[i].revision = revision_id{reported_.front()[i]};
+  }
+}
+
+void store_simulation::CheckLag(host& one) {
+  std::uint64_t known = 0;
+  for (const member_record& member : members_) {
+    known = std::max(known, Raw(member.revision));
+  }
+  if (!one.lag.Overdue(one.reader.CompleteRevision(), known, now_)) return;
+  one.reader.OnOverdue(known, now_);
+  if (one.read) Fail(one, store_failure::unreachable);
+  one.reader.ReadNow(now_);
+}
+
+void store_simulation::StepHost(host& one) {
+  if (!one.read) Begin(one);
+  if (!one.read) return;
+  if (Fails(one)) {
+    Fail(one, store_failure::unreachable);
+    return;
+  }
+  if (now_ < one.read->began + kAnswerTime) return;
+  if (one.read->what.peer) {
+    AnswerFromPeer(one);
+  } else {
+    AnswerFromStore(one);
+  }
+}
+
+void store_simulation::Begin(host& one) {
+  auto due = one.reader.Next(members_, now_);
+  if (!due) return;
+  if (!due->peer) ++store_calls_;
+  one.connections[due->peer.value_or("")].open = true;
+  one.read = open_read{std::move(*due), now_, false};
+}
+
+/** True when the open read ends without an answer. */
+bool store_simulation::Fails(host& one) {
+  open_read& read = *one.read;
+  if (!read.what.peer && one.mode == store_mode::silent) read.lost = true;
+  const connection& kept = one.connections[read.what.peer.value_or("")];
+  if (now_ >= read.began + read.what.read.timeout) return true;
+  if (kept.stalled == kNever) return false;
+  return now_ >= std::max(kept.stalled, read.began) + kUserTimeout;
+}
+
+void store_simulation::Fail(host& one, store_failure failure) {
+  one.connections.erase(one.read->what.peer.value_or(""));
+  one.read.reset();
+  if (const auto update = one.reader.OnFailure(failure, now_)) {
+    Apply(one, *update);
+  }
+}
+
+std::optional<store_reply> store_simulation::StoreAnswer(
+    const open_read& read) const {
+  const store_read& what = read.what.read;
+  const bool list = what.kind == store_read_kind::list;
+  store_reply reply;
+  reply.revision = revision_;
+  const bool changed = revision_ > what.revision;
+  if (list || changed) {
+    reply.items.push_back({kConfigKey, revision_, false, "v"});
+  }
+  const bool expired = now_ >= read.began + what.wait;
+  if (!list && !changed && !expired) return std::nullopt;
+  return reply;
+}
+
+bool store_simulation::AnswerFromStore(host& one) {
+  const open_read read = *one.read;
+  if (read.lost || one.connections[""].stalled != kNever) return false;
+  if (one.mode == store_mode::refuses) {
+    one.read.reset();
+    if (const auto update =
+            one.reader.OnFailure(store_failure::refused, now_)) {
+      Apply(one, *update);
+    }
+    return true;
+  }
+  auto reply = StoreAnswer(read);
+  if (!reply) return false;
+  one.read.reset();
+  Apply(one, one.reader.OnReply(std::move(*reply), {}, now_));
+  return true;
+}
+
+bool store_simulation::AnswerFromPeer(host& one) {
+  const open_read read = *one.read;
+  if (one.connections[*read.what.peer].stalled != kNever) return false;
+  const auto peer = std::find_if(
+      hosts_.begin(), hosts_.end(),
+      [&](const host& other) { return other.address == *read.what.peer; });
+  const store_read& what = read.what.read;
+  const bool expired = now_ >= read.began + what.wait;
+  if (peer->cache.Revision() == 0) {
+    if (expired) Fail(one, store_failure::refused);
+    return expired;
+  }
+  const bool list = what.kind == store_read_kind::list;
+  auto items =
+      list ? peer->cache.List() : peer->cache.ChangesAfter(what.revision);
+  if (!items) {
+    Fail(one, store_failure::compacted);
+    return true;
+  }
+  if (!list && items->items.empty() && !expired) return false;
+  one.read.reset();
+  Apply(one,
+        one.reader.OnReply(std::move(*items), now_ - peer->confirmed, now_));
+  return true;
+}
+
+void store_simulation::Apply(host& one, const store_update& update) {
+  one.cache.Apply(update.changes, update.revision);
+  one.confirmed = std::max(one.confirmed, update.confirmed);
+  for (const store_item& item : update.changes) {
+    went_back_ = went_back_ || item.revision < one.config;
+    one.config = item.revision;
+  }
+}
+
+}  // namespace corianderrail::gateway
--- /dev/null
+++ b/packages/gateway/tests/store_simulation.h
@@ -0,0 +1,113 @@
+/** @file store_simulation.h Hosts that follow a store, in virtual time. */
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/lag_detector.h"
+#include "gateway/store_cache.h"
+#include "gateway/store_reader.h"
+
+namespace corianderrail::gateway {
+
+/** How the store treats the reads of a host. */
+enum class store_mode : std::uint8_t {
+  good,    ///< Answers.
+  silent,  ///< Never answers reads that are open meanwhile.
+  refuses  ///< Refuses each read.
+};
+
+/**
+ * A fleet of hosts that read one store and each other. Connections are kept
+ * between reads, and can stall without a reset. Hosts learn the revisions of
+ * others after a delay, as from membership messages.
+ */
+class store_simulation {
+ public:
+  /** @param hosts Number of hosts, spread over three zones. */
+  store_simulation(std::size_t hosts, std::uint64_t seed);
+
+  /** Advances the time. */
+  void Run(duration length);
+
+  /** Writes the configuration; returns when the store acknowledged it. */
+  time_point Change();
+
+  /** All open connections stop to transfer anything. */
+  void StallConnections();
+
+  /** Sets how the store treats a host from now on. */
+  void SetMode(std::size_t host, store_mode mode);
+
+  /** The same for all hosts. */
+  void SetMode(store_mode mode);
+
+  /** The process of a host starts anew. */
+  void Restart(std::size_t host);
+
+  /** Number of hosts that lack the newest configuration. */
+  std::size_t Outdated() const;
+
+  time_point Now() const { return now_; }
+  std::uint64_t StoreCalls() const { return store_calls_; }
+
+  /** True when a process had a configuration and then an older one. */
+  bool WentBack() const { return went_back_; }
+
+ private:
+  /** A kept connection; it stalls until a read on it fails. */
+  struct connection {
+    bool open = false;
+    time_point stalled = kNever;  ///< When it stalled.
+  };
+
+  /** A read that has not ended. */
+  struct open_read {
+    sourced_read what;
+    time_point began{};
+    bool lost = false;  ///< The store was silent meanwhile.
+  };
+
+  struct host {
+    std::string address;
+    store_reader reader;
+    store_cache cache;
+    lag_detector lag;
+    time_point confirmed{};
+    std::uint64_t config = 0;  ///< Revision of the configuration in force.
+    store_mode mode = store_mode::good;
+    std::map<std::string, connection> connections;  ///< By peer, "" is store.
+    std::optional<open_read> read;
+  };
+
+  host MakeHost(std::size_t number);
+  void Step();
+  void StepHost(host& one);
+  void Begin(host& one);
+  bool Fails(host& one);
+  std::optional<store_reply> StoreAnswer(const open_read& read) const;
+  bool AnswerFromStore(host& one);
+  bool AnswerFromPeer(host& one);
+  void Apply(host& one, const store_update& update);
+  void Fail(host& one, store_failure failure);
+  void CheckLag(host& one);
+  void ShareRevisions();
+
+  std::uint64_t seed_;
+  std::vector<host> hosts_;
+  std::vector<member_record> members_;
+  std::deque<std::vector<std::uint64_t>> reported_;  ///< Oldest first.
+  time_point now_{std::chrono::seconds(1)};
+  std::uint64_t revision_ = 1;
+  std::uint64_t store_calls_ = 0;
+  std::uint64_t restarts_ = 0;
+  bool went_back_ = false;
+};
+
+}  // namespace corianderrail::gateway
