Probe the store while peers take its place

Callers saw requests handled by a version that was replaced more than 4 s before. Cause: a reader that loses the store avoids it for 2.5 s and reads from a peer for up to 2 s. When all connections stall at the same moment, all readers do so together and read from each other, and none asks the store.

A reader whose place the store lost to a peer now tests the store with short reads on another connection, at once and then at most each second, and returns to it with the first answer. The peer still serves it meanwhile.

--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -176,7 +176,7 @@
 }
 
 constexpr std::array<std::string_view, gateway::kStoreReadCauses>
-    kStoreReadCauseNames = {"listing", "catch_up", "watch"};
+    kStoreReadCauseNames = {"listing", "catch_up", "watch", "probe"};
 
 void AppendStoreCalls(std::string& text,
                       const gateway::store_read_counts& calls) {
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -17,6 +17,14 @@
 
 constexpr std::string_view kStoreSource = "store";
 
+/** True when the store answered a read, even if it lacks the history. */
+bool IsAnswer(gateway::store_read_kind kind, const http_result& result) {
+  const auto reply =
+      platform::DecodeStoreReply(kind, result.status, result.body);
+  const auto* failure = std::get_if<store_failure>(&reply);
+  return failure == nullptr || *failure == store_failure::compacted;
+}
+
 }  // namespace
 
 store_link::store_link(boost::asio::io_context& io,
@@ -24,7 +32,9 @@
     : io_(io),
       settings_(std::move(settings)),
       timer_(io),
+      probe_timer_(io),
       store_(io, settings_.store_address),
+      probe_(io, settings_.store_address),
       reader_({settings_.self, settings_.zone, settings_.seed}),
       reported_source_(kStoreSource) {}
 
@@ -55,6 +65,11 @@
 void store_link::ReadNext() {
   const auto due = reader_.Next(settings_.members(), Now());
   if (due) {
+    if (reader_.Probing()) {
+      ProbeNext();
+    } else {
+      probe_.Cancel();
+    }
     read_began_ = Now();
     if (due->peer) {
       ReadPeer(*due->peer, due->read);
@@ -70,6 +85,36 @@
   });
 }
 
+/** Probes the store while a peer takes its place. */
+void store_link::ProbeNext() {
+  const auto due = reader_.NextProbe(Now());
+  if (due) {
+    ++store_calls_[static_cast<std::size_t>(due->cause)];
+    probe_.Get(platform::EncodeStoreRead(*due), due->timeout,
+               [this, kind = due->kind](std::optional<http_result> result) {
+                 OnProbe(result && IsAnswer(kind, *result));
+               });
+    return;
+  }
+  if (reader_.NextProbeWake() == kNever) return;
+  probe_timer_.expires_at(SteadyTime(reader_.NextProbeWake()));
+  probe_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) ProbeNext();
+  });
+}
+
+void store_link::OnProbe(bool answered) {
+  if (!answered) {
+    reader_.OnProbeFailed(Now());
+    ProbeNext();
+    return;
+  }
+  reader_.OnProbeAnswered();
+  // An answer of the peer that has begun is worth waiting for.
+  if (peer_ && peer_->Receiving()) return;
+  Reconnect();
+}
+
 void store_link::ReadStore(const store_read& read) {
   ++store_calls_[static_cast<std::size_t>(read.cause)];
   store_.Get(platform::EncodeStoreRead(read), read.timeout,
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -66,6 +66,8 @@
 
  private:
   void ReadNext();
+  void ProbeNext();
+  void OnProbe(bool answered);
   void ReadStore(const gateway::store_read& read);
   void ReadPeer(const std::string& address, const gateway::store_read& read);
   void OnReply(gateway::store_reply reply, duration age);
@@ -78,7 +80,9 @@
   boost::asio::io_context& io_;
   store_link_settings settings_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer probe_timer_;
   http_getter store_;
+  http_getter probe_;  ///< Another connection to the store.
   std::unique_ptr<http_getter> peer_;
   std::string peer_address_;
   gateway::store_reader reader_;
--- a/packages/gateway/source_choice.cpp
+++ b/packages/gateway/source_choice.cpp
@@ -171,26 +171,25 @@
                 [&](const auto& entry) { return entry.second <= now; });
   source_ = std::nullopt;
   hops_ = 0;
-  if (missing > 0) {
-    const member_record* source = BestWith(members, zone, missing);
-    if (source != nullptr) {
-      source_ = source->peer_address;
-      return source_;
-    }
-  }
   const ranking hosts = Rank(members, zone);
   const std::size_t own = OwnRank(hosts);
   const bool is_reader = own < settings_.readers || own == hosts.size();
-  if (!is_reader) {
+  const bool store_fails = now < store_avoided_;
+  if (missing > 0) {
+    const member_record* source = BestWith(members, zone, missing);
+    if (source != nullptr) source_ = source->peer_address;
+  }
+  if (!source_ && !is_reader) {
     const member_record* source =
         has_items ? hosts[ParentOf(own)] : BestAbove(hosts, own);
     hops_ = HopsToReader(own) - 1;
     source_ = source->peer_address;
-  } else if (now < store_avoided_) {
+  } else if (!source_ && store_fails) {
     const member_record* best = BestAnywhere(members, has_items);
     const bool useful = best != nullptr && (has_items || HasItems(*best));
     if (useful) source_ = best->peer_address;
   }
+  replaces_store_ = is_reader && store_fails && source_;
   return source_;
 }
 
--- a/packages/gateway/source_choice.h
+++ b/packages/gateway/source_choice.h
@@ -75,6 +75,12 @@
   /** True when the store was chosen last. */
   bool ReadsStore() const { return !source_; }
 
+  /** True when a peer was chosen last only because the store failed. */
+  bool ReplacesStore() const { return replaces_store_; }
+
+  /** The store answers again and may be chosen at once. */
+  void OnStoreAnswered() { store_avoided_ = {}; }
+
  private:
   using ranking = std::vector<const member_record*>;
 
@@ -93,7 +99,8 @@
   host_id self_;
   source_settings settings_;
   std::optional<std::string> source_;  ///< Peer address; empty for the store.
-  std::size_t hops_ = 0;               ///< From the source to its reader.
+  bool replaces_store_ = false;
+  std::size_t hops_ = 0;  ///< From the source to its reader.
   std::map<std::string, time_point> avoided_;  ///< Expiry, by peer address.
   time_point store_avoided_{};
   time_point confirmed_{};  ///< When the items were last confirmed.
--- a/packages/gateway/store_reader.cpp
+++ b/packages/gateway/store_reader.cpp
@@ -20,7 +20,8 @@
 store_reader::store_reader(store_reader_settings settings)
     : zone_(std::move(settings.zone)),
       follower_({}, settings.seed),
-      sources_(settings.self, {}) {}
+      sources_(settings.self, {}),
+      probe_(~settings.seed) {}
 
 std::optional<sourced_read> store_reader::Next(
     std::span<const member_record> members, time_point now) {
@@ -30,6 +31,11 @@
   sourced_read result{
       sources_.Choose(members, zone_, follower_.Listed(), now, missing_),
       std::move(*read)};
+  if (sources_.ReplacesStore() && follower_.Listed()) {
+    probe_.Start(now);
+  } else {
+    probe_.Stop();
+  }
   if (result.peer) {
     // A listing waits too, because the peer may be starting and have no items
     // yet.
@@ -41,6 +47,22 @@
   return result;
 }
 
+std::optional<store_read> store_reader::NextProbe(time_point now) {
+  const auto timeout = probe_.Next(now);
+  if (!timeout) return std::nullopt;
+  store_read read;
+  read.cause = store_read_cause::probe;
+  read.kind = store_read_kind::watch;
+  read.revision = follower_.Revision();
+  read.timeout = *timeout;
+  return read;
+}
+
+void store_reader::OnProbeAnswered() {
+  probe_.Stop();
+  sources_.OnStoreAnswered();
+}
+
 store_update store_reader::OnReply(store_reply reply, duration age,
                                    time_point now) {
   auto changes =
--- a/packages/gateway/store_reader.h
+++ b/packages/gateway/store_reader.h
@@ -13,6 +13,7 @@
 #include "core/member_type.h"
 #include "gateway/source_choice.h"
 #include "gateway/store_follower.h"
+#include "gateway/store_probe.h"
 
 namespace corianderrail::gateway {
 
@@ -39,7 +40,8 @@
 
 /**
  * Follows the items of the store, directly or through a peer. The caller
- * carries out the reads. One read is open at a time.
+ * carries out the reads. One read is open at a time, and beside it one probe of
+ * the store while a peer takes the place of the store.
  */
 class store_reader {
  public:
@@ -52,6 +54,20 @@
   /** When the next read is due; kNever while one is open. */
   time_point NextWake() const { return follower_.NextWake(); }
 
+  /** The probe of the store that is due now, if any; open until it ends. */
+  std::optional<store_read> NextProbe(time_point now);
+
+  /** True while probes are needed; an open one may be canceled otherwise. */
+  bool Probing() const { return probe_.Active(); }
+
+  /** When the next probe is due; kNever while one is open or none is needed. */
+  time_point NextProbeWake() const { return probe_.NextWake(); }
+
+  /** The store answered the open probe, so it is the source from now on. */
+  void OnProbeAnswered();
+
+  void OnProbeFailed(time_point now) { probe_.OnFailure(now); }
+
   /** The open read was answered.
    *  @param age Time since the store confirmed the items; 0 for the store. */
   store_update OnReply(store_reply reply, duration age, time_point now);
@@ -92,6 +108,7 @@
   std::string zone_;
   store_follower follower_;
   source_choice sources_;
+  store_probe probe_;
   std::uint64_t newest_revision_ = 0;
   std::uint64_t missing_ = 0;  ///< A change that peers know; 0 for none.
 };
--- a/packages/gateway/store_type.h
+++ b/packages/gateway/store_type.h
@@ -43,8 +43,9 @@
   listing,   ///< This host knows no items, or missed changes.
   catch_up,  ///< Changes since a listing that may be stale.
   watch,     ///< Changes since the last read.
+  probe,     ///< Whether the store answers again.
 };
-inline constexpr std::size_t kStoreReadCauses = 3;
+inline constexpr std::size_t kStoreReadCauses = 4;
 
 /** Reads by cause. */
 using store_read_counts = std::array<std::uint64_t, kStoreReadCauses>;
--- /dev/null
+++ b/packages/gateway/tests/store_probe_test.cpp
@@ -0,0 +1,71 @@
+/** @file store_probe_test.cpp When a lost store is probed. */
+
+#include "gateway/store_probe.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace corianderrail::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class probe_fixture {
+ protected:
+  store_probe probe_{1};
+  time_point now_{seconds(1)};
+};
+
+}  // namespace
+
+// Guards against a host that waits before it tests whether only its connection
+// was lost.
+TEST_CASE_METHOD(probe_fixture, "Probe_Started_IsDueAtOnceAndOnlyOnce") {
+  CHECK(probe_.NextWake() == kNever);
+  probe_.Start(now_);
+  REQUIRE(probe_.Next(now_));
+  CHECK_FALSE(probe_.Next(now_));
+  CHECK(probe_.NextWake() == kNever);
+}
+
+// Guards against many calls to a store that refuses this host, and against a
+// return that is noticed late.
+TEST_CASE_METHOD(probe_fixture, "Probe_StoreStaysAway_AsksEachSecond") {
+  probe_.Start(now_);
+  int probes = 0;
+  const time_point end = now_ + seconds(10);
+  for (; now_ < end; now_ = probe_.NextWake()) {
+    REQUIRE(probe_.Next(now_));
+    probe_.OnFailure(now_);
+    CHECK(probe_.NextWake() <= now_ + seconds(1));
+    ++probes;
+  }
+  CHECK(probes <= 22);
+}
+
+// Guards against probes that always time out because the store is slow.
+TEST_CASE_METHOD(probe_fixture, "Probe_TimesOut_SometimesAllowsMoreTime") {
+  probe_.Start(now_);
+  duration longest{};
+  for (int i = 0; i < 3; ++i) {
+    longest = std::max(longest, probe_.Next(now_).value());
+    probe_.OnFailure(now_);
+    now_ = probe_.NextWake();
+  }
+  CHECK(longest >= milliseconds(1500));
+}
+
+// Guards against a canceled probe that starts the next one.
+TEST_CASE_METHOD(probe_fixture, "Probe_StoppedWhileOpen_StaysStopped") {
+  probe_.Start(now_);
+  REQUIRE(probe_.Next(now_));
+  probe_.Stop();
+  probe_.OnFailure(now_);
+  CHECK_FALSE(probe_.Active());
+  CHECK(probe_.NextWake() == kNever);
+}
+
+}  // namespace corianderrail::gateway
--- a/packages/gateway/tests/store_simulation.cpp
+++ b/packages/gateway/tests/store_simulation.cpp
@@ -44,7 +44,7 @@
   const std::uint64_t seed = seed_ * 1000 + number * 10 + restarts_ * 7919;
   store_reader_settings settings{HostIdOf(address),
                                  std::to_string(number % kZones), seed};
-  return {address, store_reader(settings), {}, {}, {}, 0, {}, {}, {}};
+  return {address, store_reader(settings), {}, {}, {}, 0, {}, {}, {}, {}};
 }
 
 void store_simulation::Run(duration length) {
@@ -92,6 +92,7 @@
   for (host& one : hosts_) {
     if (check) CheckLag(one);
     StepHost(one);
+    StepProbe(one);
   }
 }
 
@@ -132,6 +133,34 @@
   }
 }
 
+/** A probe opens a connection of its own. */
+void store_simulation::StepProbe(host& one) {
+  if (!one.reader.Probing()) one.probe.reset();
+  if (!one.probe) {
+    const auto due = one.reader.NextProbe(now_);
+    if (!due) return;
+    ++store_calls_;
+    one.probe = open_read{{std::nullopt, *due}, now_, false};
+  }
+  if (one.mode == store_mode::silent) one.probe->lost = true;
+  const bool answers = now_ >= one.probe->began + kAnswerTime;
+  const bool refused = answers && one.mode == store_mode::refuses;
+  const bool timed_out =
+      now_ >= one.probe->began + one.probe->what.read.timeout;
+  if (refused || timed_out) {
+    one.probe.reset();
+    one.reader.OnProbeFailed(now_);
+  } else if (answers && !one.probe->lost) {
+    one.probe.reset();
+    one.reader.OnProbeAnswered();
+    if (one.read) {
+      one.read.reset();
+      one.reader.OnCanceled(now_);
+    }
+    one.reader.ReadNow(now_);
+  }
+}
+
 void store_simulation::Begin(host& one) {
   auto due = one.reader.Next(members_, now_);
   if (!due) return;
--- a/packages/gateway/tests/store_simulation.h
+++ b/packages/gateway/tests/store_simulation.h
@@ -84,11 +84,13 @@
     store_mode mode = store_mode::good;
     std::map<std::string, connection> connections;  ///< By peer, "" is store.
     std::optional<open_read> read;
+    std::optional<open_read> probe;
   };
 
   host MakeHost(std::size_t number);
   void Step();
   void StepHost(host& one);
+  void StepProbe(host& one);
   void Begin(host& one);
   bool Fails(host& one);
   std::optional<store_reply> StoreAnswer(const open_read& read) const;
