End each read of the store within the recovery time

Callers saw requests handled by a version that was replaced more than 4 s before, and 404 for a route that had been added. Cause: while reads fail, their timeout grew to 6 s, and a watch lasted 6.5 s, but a host has to be current 5 s after a fault. Reads that began before the return of a silent store, or whose answer was lost on a live connection, are never answered.

The longest read now follows from two limits of the platform, passed in the new settings config_propagation_ms and recovery_ms: the smaller of the first and 0.6 of the second (3 s on both sites). Reads of peers end within it as well.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -187,6 +187,8 @@
   link.self = HostIdOf(settings.peer_address);
   link.zone = settings.zone;
   link.seed = RandomSeed();
+  link.reads.longest_read =
+      gateway::LongestRead(settings.config_propagation, settings.recovery);
   link.members = [this] { return std::span(members); };
   link.on_update = [this](const gateway::store_update& update) {
     OnStoreUpdate(update);
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -83,6 +83,8 @@
   into.repeat_window = std::chrono::seconds(
       from.Integer("repeat_window_s", 1, 3600, presence::optional, 10));
   into.leaf_drain = Milliseconds(from, "leaf_drain_ms", 3000);
+  into.config_propagation = Milliseconds(from, "config_propagation_ms", 3000);
+  into.recovery = Milliseconds(from, "recovery_ms", 5000);
   into.stop_grace = std::chrono::seconds(
       from.Integer("stop_grace_s", 1, 3600, presence::optional, 6));
   into.lookup_ttl_s = static_cast<std::uint32_t>(from.Integer(
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -44,6 +44,10 @@
   duration repeat_window = std::chrono::seconds(10);  ///< Sliding window.
   /** Time for which a draining leaf still accepts requests. */
   duration leaf_drain = std::chrono::seconds(3);
+  /** Time within which a changed configuration must be in force. */
+  duration config_propagation = std::chrono::seconds(3);
+  /** Time within which this host must know all changes after a fault. */
+  duration recovery = std::chrono::seconds(5);
   duration stop_grace = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
   std::uint32_t lookup_ttl_s = 1;  ///< Lifetime of a lookup answer.
 };
--- a/packages/edge/settings_change.cpp
+++ b/packages/edge/settings_change.cpp
@@ -42,6 +42,9 @@
     restart_key{"cores", &Same<&edge_settings::cores>},
     restart_key{"link_mbps", &Same<&edge_settings::link_mbps>},
     restart_key{"repeat_window_s", &Same<&edge_settings::repeat_window>},
+    restart_key{"config_propagation_ms",
+                &Same<&edge_settings::config_propagation>},
+    restart_key{"recovery_ms", &Same<&edge_settings::recovery>},
 };
 
 }  // namespace
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -35,7 +35,8 @@
       probe_timer_(io),
       store_(io, settings_.store_address),
       probe_(io, settings_.store_address),
-      reader_({settings_.self, settings_.zone, settings_.seed}),
+      reader_(
+          {settings_.self, settings_.zone, settings_.seed, settings_.reads}),
       reported_source_(kStoreSource) {}
 
 void store_link::Start() { ReadNext(); }
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -30,10 +30,11 @@
 
 /** Settings and callbacks of a store_link. */
 struct store_link_settings {
-  std::string store_address;  ///< Metadata store.
-  host_id self{};             ///< This host.
-  std::string zone;           ///< Its availability zone.
-  std::uint64_t seed = 0;     ///< Of the random backoff.
+  std::string store_address;               ///< Metadata store.
+  host_id self{};                          ///< This host.
+  std::string zone;                        ///< Its availability zone.
+  std::uint64_t seed = 0;                  ///< Of the random backoff.
+  gateway::store_follower_settings reads;  ///< Timing of reads.
   std::function<std::span<const member_record>()>
       members;  ///< Hosts known now.
   std::function<void(const gateway::store_update&)>
--- a/packages/gateway/store_follower.cpp
+++ b/packages/gateway/store_follower.cpp
@@ -13,6 +13,12 @@
 
 namespace corianderrail::gateway {
 
+// The rest of the recovery time is for a backoff, a new connection and the next
+// read.
+duration LongestRead(duration propagation, duration recovery) {
+  return std::min(propagation, recovery * 6 / 10);
+}
+
 store_follower::store_follower(store_follower_settings settings,
                                std::uint64_t seed)
     : settings_(settings), random_(seed) {}
@@ -31,12 +37,19 @@
     read.revision = revision_;
   }
   if (next_ == store_read_cause::watch) {
-    read.wait = Failing() ? settings_.probe_wait : settings_.watch_wait;
+    const duration wait =
+        Failing() ? settings_.probe_wait : settings_.watch_wait;
+    read.wait = std::min(wait, settings_.longest_read * 2 / 3);
   }
-  read.timeout = read.wait + AnswerTimeout();
+  read.timeout = Timeout(read.wait);
   return read;
 }
 
+duration store_follower::Timeout(duration wait) const {
+  const duration timeout = wait + AnswerTimeout();
+  return listed_ ? std::min(timeout, settings_.longest_read) : timeout;
+}
+
 duration store_follower::AnswerTimeout() const {
   if (!listed_) {
     if (failures_ % 8 == 7) return settings_.longest_timeout;
--- a/packages/gateway/store_follower.h
+++ b/packages/gateway/store_follower.h
@@ -16,8 +16,11 @@
 
 /** Timing of reads from the store. */
 struct store_follower_settings {
-  /** Longest watch. A watch whose answer was lost looks like one without
-   *  changes, so changes may be delayed by this time after an outage. */
+  /** Longest read after the first listing. A read whose answer was lost looks
+   *  like one without changes and delays the next change by this time. */
+  duration longest_read = std::chrono::seconds(3);
+
+  /** Longest watch; at most two thirds of `longest_read`. */
   duration watch_wait = std::chrono::seconds(5);
 
   /** Length of the first watch after a failure, which tests the store. */
@@ -50,6 +53,13 @@
   duration longest_backoff = std::chrono::milliseconds(1200);
 };
 
+/**
+ * Returns the longest read with which a host keeps its limits.
+ * @param propagation Time within which a change must be known.
+ * @param recovery Time within which all changes must be known after a fault.
+ */
+duration LongestRead(duration propagation, duration recovery);
+
 /**
  * Lists all items once and then watches them. The revision never decreases;
  * older answers are dropped.
@@ -85,6 +95,7 @@
 
  private:
   duration AnswerTimeout() const;
+  duration Timeout(duration wait) const;
   std::vector<store_item> OnListing(store_reply reply, time_point now);
   std::vector<store_item> OnChanges(store_reply reply, time_point now);
   duration NextPause(time_point now);
--- a/packages/gateway/store_reader.cpp
+++ b/packages/gateway/store_reader.cpp
@@ -12,14 +12,16 @@
  *  items, so a short wait shows early when they are too old. */
 constexpr duration kMaxPeerWait = std::chrono::seconds(2);
 
-/** Time for the answer of a peer in addition to the wait. */
+/** Time for the answer of a peer in addition to the wait, within the longest
+ *  read. */
 constexpr duration kPeerTimeout = std::chrono::milliseconds(1200);
 
 }  // namespace
 
 store_reader::store_reader(store_reader_settings settings)
     : zone_(std::move(settings.zone)),
-      follower_({}, settings.seed),
+      longest_read_(settings.reads.longest_read),
+      follower_(settings.reads, settings.seed),
       sources_(settings.self, {}),
       probe_(~settings.seed) {}
 
@@ -40,9 +42,10 @@
     // A listing waits too, because the peer may be starting and have no items
     // yet.
     const bool list = result.read.kind == store_read_kind::list;
-    result.read.wait =
-        list ? kMaxPeerWait / 2 : std::min(result.read.wait, kMaxPeerWait);
-    result.read.timeout = result.read.wait + kPeerTimeout;
+    const duration longest = std::min(kMaxPeerWait, longest_read_ * 2 / 3);
+    result.read.wait = list ? longest / 2 : std::min(result.read.wait, longest);
+    result.read.timeout =
+        std::min(result.read.wait + kPeerTimeout, longest_read_);
   }
   return result;
 }
--- a/packages/gateway/store_reader.h
+++ b/packages/gateway/store_reader.h
@@ -31,11 +31,12 @@
   store_read read;                  ///< Its wait and timeout fit the receiver.
 };
 
-/** Identity of a store_reader. */
+/** Identity and timing of a store_reader. */
 struct store_reader_settings {
-  host_id self{};          ///< This host.
-  std::string zone;        ///< Its availability zone.
-  std::uint64_t seed = 0;  ///< Of the random backoff.
+  host_id self{};                 ///< This host.
+  std::string zone;               ///< Its availability zone.
+  std::uint64_t seed = 0;         ///< Of the random backoff.
+  store_follower_settings reads;  ///< Timing of reads.
 };
 
 /**
@@ -106,6 +107,7 @@
   store_update UpdateOf(std::vector<store_item> changes, time_point now) const;
 
   std::string zone_;
+  duration longest_read_;
   store_follower follower_;
   source_choice sources_;
   store_probe probe_;
--- a/packages/gateway/tests/propagation_test.cpp
+++ b/packages/gateway/tests/propagation_test.cpp
@@ -85,6 +85,26 @@
   }
 }
 
+// Guards against hosts that wait for answers which were lost before the change.
+TEST_CASE_METHOD(propagation_fixture,
+                 "Propagation_AnswersAreLost_ChangeIsInForceInTime") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    random_source random(seed);
+    auto fleet = Fleet(seed);
+    fleet.SetMode(store_mode::loses);
+    fleet.Run(UpTo(random, 4000));
+    fleet.Change();
+    fleet.Run(UpTo(random, 4000));
+    fleet.SetMode(store_mode::good);
+    const time_point ended = fleet.Now();
+    fleet.Run(UpTo(random, 1000));
+    const time_point ack = fleet.Change();
+    RunUntilDue(fleet, ack, ended);
+    INFO("seed " << seed);
+    CHECK(fleet.Outdated() == 0);
+  }
+}
+
 // Guards against hosts that keep to a source which the store refuses.
 TEST_CASE_METHOD(propagation_fixture,
                  "Propagation_StoreRefusesSomeHosts_ChangeIsInForceInTime") {
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -247,6 +247,23 @@
   CHECK(NextRead().timeout <= seconds(7));
 }
 
+// Guards against a read that hangs for longer than a host may lack changes,
+// also while the store has failed for long.
+TEST_CASE_METHOD(follower_fixture, "Follower_Listed_NoReadTakesLongerThanSet") {
+  List();
+  for (int i = 0; i < 30; ++i) {
+    CHECK(NextRead().timeout <= seconds(3));
+    follower_.OnFailure(store_failure::unreachable, now_);
+  }
+}
+
+// Guards against limits of one deployment that do not fit another one.
+TEST_CASE("Follower_LongestRead_FollowsFromBothLimits") {
+  CHECK(LongestRead(seconds(3), seconds(5)) == seconds(3));
+  CHECK(LongestRead(seconds(4), seconds(5)) == seconds(3));
+  CHECK(LongestRead(seconds(1), seconds(5)) == seconds(1));
+}
+
 // Guards against reads that always time out because the store is slow.
 TEST_CASE_METHOD(follower_fixture, "Follower_StoreSlow_AllowsMoreTime") {
   const auto first = NextRead().timeout;
--- a/packages/gateway/tests/store_simulation.cpp
+++ b/packages/gateway/tests/store_simulation.cpp
@@ -42,8 +42,8 @@
 store_simulation::host store_simulation::MakeHost(std::size_t number) {
   const std::string address = "10.0.0." + std::to_string(number) + ":1";
   const std::uint64_t seed = seed_ * 1000 + number * 10 + restarts_ * 7919;
-  store_reader_settings settings{HostIdOf(address),
-                                 std::to_string(number % kZones), seed};
+  store_reader_settings settings{
+      HostIdOf(address), std::to_string(number % kZones), seed, {}};
   return {address, store_reader(settings), {}, {}, {}, 0, {}, {}, {}, {}};
 }
 
@@ -144,6 +144,7 @@
   }
   if (one.mode == store_mode::silent) one.probe->lost = true;
   const bool answers = now_ >= one.probe->began + kAnswerTime;
+  if (answers && one.mode == store_mode::loses) one.probe->lost = true;
   const bool refused = answers && one.mode == store_mode::refuses;
   const bool timed_out =
       now_ >= one.probe->began + one.probe->what.read.timeout;
@@ -215,6 +216,10 @@
   }
   auto reply = StoreAnswer(read);
   if (!reply) return false;
+  if (one.mode == store_mode::loses) {
+    one.read->lost = true;
+    return false;
+  }
   one.read.reset();
   Apply(one, one.reader.OnReply(std::move(*reply), {}, now_));
   return true;
--- a/packages/gateway/tests/store_simulation.h
+++ b/packages/gateway/tests/store_simulation.h
@@ -20,6 +20,7 @@
 enum class store_mode : std::uint8_t {
   good,    ///< Answers.
   silent,  ///< Never answers reads that are open meanwhile.
+  loses,   ///< Its answers are lost, without a sign on the connection.
   refuses  ///< Refuses each read.
 };
 
