Refuse deeply nested relay replies

One malformed reply on the relay ended the process: the decoder calls itself for each level of nesting, and 4 MB of nested arrays exhaust the stack (Relay_ReplyNestedDeeply_IsUnreadable: SIGSEGV before). The nesting is now checked by a parser that keeps its state on the heap; a reply that nests deeper than three levels is unreadable, like any other malformed one.

--- a/packages/edge/relay_codec.cpp
+++ b/packages/edge/relay_codec.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cstdint>
+#include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -29,6 +31,9 @@
  *  conversion from double within the range of `duration`. */
 constexpr double kMaxAgeUs = 1e12;
 
+/** Nesting of a valid reply: its table, the list of items, and an item. */
+constexpr std::uint32_t kMaxNestingDepth = 3;
+
 /** Longest wait that a host grants to a relay request. */
 constexpr std::uint64_t kMaxWaitMs = 30'000;
 
@@ -52,6 +57,32 @@
   return segment;
 }
 
+/** Rejects bytes that nest deeper than a valid reply. */
+class depth_visitor : public msgpack::null_visitor {
+ public:
+  bool start_array(std::uint32_t /*size*/) { return Enter(); }
+  bool end_array() { return Leave(); }
+  bool start_map(std::uint32_t /*size*/) { return Enter(); }
+  bool end_map() { return Leave(); }
+
+ private:
+  bool Enter() { return ++depth_ <= kMaxNestingDepth; }
+  bool Leave() {
+    --depth_;
+    return true;
+  }
+
+  std::uint32_t depth_ = 0;
+};
+
+/** The decoder of nlohmann::json calls itself for each level, so that nested
+ *  bytes would exhaust the stack. */
+bool IsShallow(std::string_view bytes) {
+  depth_visitor visitor;
+  std::size_t consumed = 0;
+  return msgpack::parse(bytes.data(), bytes.size(), consumed, visitor);
+}
+
 json::binary_t ToBinary(const std::string& from) {
   return json::binary_t(std::vector<std::uint8_t>(from.begin(), from.end()));
 }
@@ -110,6 +141,7 @@
     int status, std::string_view body) {
   if (status == gateway::kStatusGone) return store_failure::compacted;
   if (status != gateway::kStatusOk) return store_failure::refused;
+  if (!IsShallow(body)) return store_failure::unreadable;
   try {
     const json document = json::from_msgpack(body);
     relay_reply reply;
--- a/packages/edge/tests/relay_codec_test.cpp
+++ b/packages/edge/tests/relay_codec_test.cpp
@@ -74,4 +74,13 @@
         store_failure::compacted);
 }
 
+// Guards against a nested reply that exhausts the stack of the process.
+TEST_CASE("Relay_ReplyNestedDeeply_IsUnreadable") {
+  constexpr std::size_t kDepth = 4'000'000;
+  for (const char nested : {'\x91', '\x81'}) {
+    CHECK(std::get<store_failure>(DecodeRelayReply(
+              200, std::string(kDepth, nested))) == store_failure::unreadable);
+  }
+}
+
 }  // namespace corianderrail::edge
