--- a/packages/edge/tests/leaf_pool_test.cpp
+++ b/packages/edge/tests/leaf_pool_test.cpp
@@ -340,6 +340,24 @@
   CHECK(Outcome(1) == "-");
 }
 
+// Guards against an empty success for a leaf that stops in the middle of the
+// head of its answer.
+TEST_CASE_METHOD(pool_fixture, "Pool_HeadEndsAnywhere_IsAFailure") {
+  for (const std::string& head :
+       {std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n"
+                    "X-Server-Stamp: p\r\nContent-Length: 10\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n"
+                    "X-Server-Stamp: p\r\n\r\n")}) {
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+      events_.clear();
+      script_ = {{head.substr(0, cut), true}};
+      Send("a");
+      INFO("cut after " << cut << " of " << head.size() << " bytes");
+      CHECK(Outcome(calls_) == "-");
+    }
+  }
+}
+
 // Guards against losing answers without a length, which end with the
 // connection.
 TEST_CASE_METHOD(pool_fixture, "Pool_AnswerWithoutLength_EndsWithConnection") {
