Refuse orders that may outlive a stopping host

Other operators reported requests, among them some that may not repeat, that were passed on late in the grace time of a planned stop and cut off at its end. Here each open request is answered 0.6 s before the kill, but an order with a time limit of 3 s that arrived 2 s before then could only be answered 504, and its client could not know whether it ran. From SIGTERM on, a request that must not repeat is refused with 503 if its time limit ends after that moment; it never reaches a leaf, and another host can serve it in its whole time.

Stop_OrderMayOutliveTheHost_IsRefusedAndNeverSent fails without the rule.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -330,6 +330,7 @@
   log.WriteEvent("stopping", {});
   peers.SetLeaving();
   client_server.StartDraining();
+  Reduce(gateway::leaving_event{gateway::FinishAt(StopSettings(), stop.asked)});
   ContinueStop();
 }
 
@@ -376,13 +377,18 @@
   log.WriteEvent("behind_peers", inputs);
 }
 
-/** Carries out the steps of a planned stop when they become due. */
-void edge_process::state::ContinueStop() {
-  stop.open = core.OpenExchanges();
+gateway::stop_settings edge_process::state::StopSettings() const {
   gateway::stop_settings timing;
   timing.grace = settings.stop_grace;
   timing.lookup_ttl = std::chrono::seconds(settings.lookup_ttl_s);
-  const gateway::stop_step due = gateway::StopStepAt(timing, stop, Now());
+  return timing;
+}
+
+/** Carries out the steps of a planned stop when they become due. */
+void edge_process::state::ContinueStop() {
+  stop.open = core.OpenExchanges();
+  const gateway::stop_step due =
+      gateway::StopStepAt(StopSettings(), stop, Now());
   if (due == gateway::stop_step::exit) {
     const decision_input inputs[] = {{"open", std::to_string(stop.open)}};
     log.WriteEvent("stopped", inputs);
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -79,6 +79,7 @@
   void ScheduleWake();
   void CheckRevisionLag();
   void CheckClock();
+  gateway::stop_settings StopSettings() const;
   void ContinueStop();
 
   edge_settings settings;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -93,6 +93,7 @@
   void On(startup_event& input, time_point now);
   void On(fleet_event& input, time_point now);
   void On(settings_event& input, time_point now);
+  void On(leaving_event& input, time_point now);
   void On(stop_event& input, time_point now);
   void On(wake_event& input, time_point now);
   void OnTimer(const timer& due, time_point now);
@@ -162,9 +163,10 @@
   fleet_event fleet_;       ///< Latest size of the fleet.
   double slack_share_ = 0;  ///< Repeats of this host per window.
   bool registry_complete_ = false;
-  bool startup_delayed_ = false;  ///< Requests do not wait for CanServe().
-  bool stopping_ = false;         ///< New requests are refused.
-  time_point started_{};          ///< Time of the first event.
+  bool startup_delayed_ = false;   ///< Requests do not wait for CanServe().
+  bool stopping_ = false;          ///< New requests are refused.
+  time_point finish_at_ = kNever;  ///< Open requests are answered by then.
+  time_point started_{};           ///< Time of the first event.
   std::set<std::string, std::less<>> routed_services_;
   std::unordered_map<std::string, std::shared_ptr<service_state>> services_;
   std::unordered_map<std::string, std::shared_ptr<route_stats>> stats_;
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -110,6 +110,10 @@
   }
 }
 
+void gateway::On(leaving_event& input, time_point /*now*/) {
+  finish_at_ = input.finish_at;
+}
+
 /** Ends the time of all open requests, so that each gets the answer that it
  *  would get at its deadline: the parts that arrived, or a refusal. */
 void gateway::On(stop_event& input, time_point now) {
@@ -171,6 +175,12 @@
   pending.deadline =
       pending.arrived +
       std::min(pending.request->remaining_time.value_or(limit), limit);
+  // Its leaf could still work on it when this host exits, and its client could
+  // not learn whether it ran. Another host can serve it in its whole time.
+  if (!pending.Idempotent() && pending.deadline > finish_at_) {
+    Refuse(pending, refusal_cause::stopping, {}, now);
+    return;
+  }
   pending.objective_at =
       pending.arrived +
       std::max(pending.matched->objective - TimeOutsideHost(pending),
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -78,6 +78,11 @@
   duration last_resort{};   ///< How long leaving leafs may get requests.
 };
 
+/** A planned stop of this host was requested. */
+struct leaving_event {
+  time_point finish_at{};  ///< Open requests are answered then at the latest.
+};
+
 /** This host is about to exit; new requests are refused from now on. */
 struct stop_event {
   bool finish = false;  ///< Also answers the open requests with what there is.
@@ -90,7 +95,7 @@
     std::variant<request_event, client_disconnected_event, leaf_answer_event,
                  leaf_failure_event, leaf_connected_event, config_event,
                  registry_event, startup_event, fleet_event, settings_event,
-                 stop_event, wake_event>;
+                 leaving_event, stop_event, wake_event>;
 
 /** Sends a request to a leaf. */
 struct send_leaf_effect {
--- a/packages/gateway/stop_timing.cpp
+++ b/packages/gateway/stop_timing.cpp
@@ -37,14 +37,18 @@
 
 }  // namespace
 
+time_point FinishAt(const stop_settings& settings, time_point asked) {
+  return asked + settings.grace - kFinishMargin;
+}
+
 stop_step StopStepAt(const stop_settings& settings,
                      const stop_progress& progress, time_point now) {
   if (Unused(settings, progress, now)) return stop_step::exit;
   const time_point killed = progress.asked + settings.grace;
   if (now >= killed - kExitMargin) return stop_step::exit;
-  const time_point finished = killed - kFinishMargin + kWriteTime;
-  if (progress.open == 0 && now >= finished) return stop_step::exit;
-  if (now >= killed - kFinishMargin) return stop_step::finish;
+  const time_point finish = FinishAt(settings, progress.asked);
+  if (progress.open == 0 && now >= finish + kWriteTime) return stop_step::exit;
+  if (now >= finish) return stop_step::finish;
   return now >= killed - kRefuseMargin ? stop_step::refuse : stop_step::serve;
 }
 
--- a/packages/gateway/stop_timing.h
+++ b/packages/gateway/stop_timing.h
@@ -30,6 +30,9 @@
   exit,    ///< Every request is answered, or the process is about to be killed.
 };
 
+/** When all open requests are answered at the latest. */
+time_point FinishAt(const stop_settings& settings, time_point asked);
+
 /**
  * The step that is due. Clients use a lookup answer for up to three times its
  * lifetime, so a host that exits earlier would drop those that still connect to
--- a/packages/gateway/tests/stop_test.cpp
+++ b/packages/gateway/tests/stop_test.cpp
@@ -81,6 +81,22 @@
   CHECK(StatusOf(accepted) == 200);
 }
 
+// Guards against an order that is passed on late in a planned stop and ends
+// without an answer, so that its client cannot know whether it ran.
+TEST_CASE_METHOD(stopping_fixture,
+                 "Stop_OrderMayOutliveTheHost_IsRefusedAndNeverSent") {
+  Reduce(leaving_event{Now() + milliseconds(500)});
+  const auto late = Request("/order/x");
+  CHECK(StatusOf(late) == 503);
+  CHECK(DrainSends().empty());
+  const auto short_order = Request("/order/x", milliseconds(400));
+  CHECK(DrainSends().size() == 1);
+  const auto read = Request("/read/x");
+  CHECK(DrainSends().size() == 1);
+  CHECK(StatusOf(short_order) == 0);
+  CHECK(StatusOf(read) == 0);
+}
+
 // Guards against dropping the parts that arrived before the exit.
 TEST_CASE_METHOD(stopping_fixture, "Stop_QueryLacksAPart_IsAnsweredPartially") {
   const auto id = Request("/query/x");
