Read contracts again in time on a host without peers

Hosts with peers learn of the change from them; a host without one waits at most 8 s for both now, and its read after a failure returns at once.

Open: a fleet whose readers all lose their answers at the same moment.

--- a/packages/core/config_reader.cpp
+++ b/packages/core/config_reader.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // A call without an answer counts as lost this long after the end of its wait.
-constexpr duration kAnswerGrace = std::chrono::seconds(5);
+constexpr duration kAnswerGrace = std::chrono::seconds(3);
 
 // Minimum time between two calls for one key. It bounds the call rate when the
 // service answers watches at once.
@@ -65,12 +65,17 @@
   return is_reader_ || !watch.answered;
 }
 
+duration config_reader::Limit(duration usual) const {
+  return peer_known_ ? usual : std::min(usual, settings_.lone_limit);
+}
+
 duration config_reader::Backoff(std::uint32_t failures) {
+  const duration longest = Limit(settings_.retry_max);
   duration delay = settings_.retry_min;
-  for (std::uint32_t i = 1; i < failures && delay < settings_.retry_max; ++i) {
+  for (std::uint32_t i = 1; i < failures && delay < longest; ++i) {
     delay *= 2;
   }
-  delay = std::min(delay, settings_.retry_max);
+  delay = std::min(delay, longest);
   // Jitter keeps the readers from calling a recovered service at the same time.
   const double factor = 0.75 + 0.5 * random_.Unit();
   return duration(
@@ -89,9 +94,11 @@
                          effect_list& effects) {
   watch.open = true;
   watch.sent = now;
-  // The first read returns at once; later ones wait for a newer version.
+  // The first read returns at once, and so does one after a failure, which may
+  // fail again; others wait for a newer version.
   const bool watching = watch.version != 0;
-  watch.wait = watching ? settings_.watch_wait : duration{};
+  const bool waits = watching && watch.failures == 0;
+  watch.wait = waits ? Limit(settings_.watch_wait) : duration{};
   effects.push_back(read_config_effect{
       std::string(watch.key), watching ? watch.version : 0, watch.wait});
 }
--- a/packages/core/config_reader.h
+++ b/packages/core/config_reader.h
@@ -16,10 +16,13 @@
 
 /** Timing of reads from the platform. */
 struct config_reader_settings {
-  std::uint32_t readers_per_zone = 2;                    ///< Hosts that watch.
-  duration watch_wait = std::chrono::seconds(20);        ///< Limit per call.
-  duration retry_min = std::chrono::milliseconds(500);   ///< First backoff.
-  duration retry_max = std::chrono::seconds(20);         ///< Backoff limit.
+  std::uint32_t readers_per_zone = 2;                   ///< Hosts that watch.
+  duration watch_wait = std::chrono::seconds(20);       ///< Limit per call.
+  duration retry_min = std::chrono::milliseconds(500);  ///< First backoff.
+  duration retry_max = std::chrono::seconds(20);        ///< Backoff limit.
+  /** Both limits on a host without a running peer: no other host tells it about
+   *  a change when the answer of its own call was lost. */
+  duration lone_limit = std::chrono::seconds(8);
   duration host_list_period = std::chrono::seconds(15);  ///< Mean per zone.
   duration peer_grace = std::chrono::seconds(1);         ///< Wait for a peer.
 };
@@ -65,6 +68,7 @@
 
   bool MayRead(const key_watch& watch) const;
   void Read(key_watch& watch, time_point now, effect_list& effects);
+  duration Limit(duration usual) const;
   duration Backoff(std::uint32_t failures);
   duration HostListDelay();
 
