--- a/packages/gateway/tests/store_simulation.cpp
+++ b/packages/gateway/tests/store_simulation.cpp
@@ -22,7 +22,7 @@
 constexpr duration kUserTimeout = milliseconds(3000);
 
 constexpr std::size_t kZones = 3;
-const std::string kConfigKey = "config";
+constexpr const char* kConfigKey = "config";
 
 }  // namespace
 
