Check in the soak that changes reach all hosts after a stall

The soak checked no rule of configuration. Each version now adds a route of its own and removes that of the version before. At the end of a run a change is published, all connections to the store stall without a reset up to 1 s later, another change follows, and 5 s after the stall each host must serve the new route and answer 404 for the old one. Connections also stall among the random faults, and entries of other writers also have a port out of range and nested values.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,7 @@
 TOP_K = 5
 ATTEMPTS = 2
 SETTLE_SECONDS = 6
+RECOVERY_SECONDS = 5  # recovery_ms of the settings.
 SERVED_AFTER_FAULTS = 0.95
 
 
@@ -141,6 +142,8 @@
              "Priority": 0, "Gather": shards, "TopK": TOP_K, "MinShardRatio": 0.5},
             {**common, "Name": "read", "Prefix": "/read/", "Type": "idempotent",
              "Priority": 1, "Service": "plain"},
+            {**common, "Name": "version", "Prefix": f"/version/{self.version}/",
+             "Type": "idempotent", "Priority": 1, "Service": "plain"},
             {**common, "Name": "order", "Prefix": "/order/", "Priority": 2,
              "Type": "non_idempotent", "Service": "plain"}]
         await self.store.put("op/config", {
@@ -196,6 +199,8 @@
             if writer:
                 writer.close()
         status = int(lines[0].split(" ")[1])
+        if kind == "version":
+            return status
         self.check_answer(kind, attempt, status, headers, body)
         return status
 
@@ -242,7 +247,7 @@
             self.break_store_path, self.break_leaf, self.break_leaf,
             self.drain_leaf, self.crash_leaf, self.reset_store, self.publish,
             self.compact_store, self.burst, self.disconnect_clients,
-            self.change_settings, self.invalid_entry])
+            self.change_settings, self.invalid_entry, self.stall_store_paths])
         self.counts["faults"] += 1
         await fault()
 
@@ -358,10 +363,14 @@
 
     async def invalid_entry(self):
         entry = self.leafs[0].entry()
+        nested = []
+        for _ in range(500):
+            nested = [nested]
         entry.update(self.rng.choice([
             {"Addr": "nowhere"}, {"Addr": "10.0.0.1"}, {"Addr": 7}, {"Slots": -1},
             {"Slots": 1e30}, {"ColdLeftMs": 1e300}, {"State": "lost"},
-            {"born": "now"}, {"Service": None}]))
+            {"born": "now"}, {"Service": None}, {"Addr": "127.0.0.1:70000"},
+            {"Service": nested}]))
         await self.store.put("servers/i-foreign", entry)
         await asyncio.sleep(self.rng.uniform(0.5, 2))
         await self.store.remove("servers/i-foreign")
@@ -373,13 +382,45 @@
         if self.rng.random() < 0.5:
             host.signal(signal.SIGHUP)
 
+    async def stall_store_paths(self):
+        for host in self.hosts:
+            host.proxy.stall_connections()
+
     # Checks at the end.
 
+    async def check_propagation(self):
+        """A change just after all connections to the store stalled is in force
+        on each host, and the route that it replaced is gone."""
+        await self.publish()
+        before = self.version
+        await asyncio.sleep(self.rng.uniform(0.3, 1))
+        await self.stall_store_paths()
+        stalled = time.monotonic()
+        await asyncio.sleep(self.rng.uniform(0, 1))
+        await self.publish()
+        await asyncio.sleep(stalled + RECOVERY_SECONDS - time.monotonic())
+        for host in self.hosts:
+            status = await self.probe_version(host, self.version)
+            if status != 200:
+                self.fail(f"host {host.number}: {status} for the route added "
+                          f"{RECOVERY_SECONDS} s after connections stalled")
+            status = await self.probe_version(host, before)
+            if status != 404:
+                self.fail(f"host {host.number}: {status} for a removed route")
+
+    async def probe_version(self, host, version):
+        self.sequence += 1
+        text = (f"GET /version/{version}/ HTTP/1.1\r\nHost: h.example\r\n"
+                f"X-Attempt-Id: r{self.sequence}\r\n"
+                f"X-Deadline-Ms: {QUERY_MS}\r\n\r\n").encode()
+        return await self.exchange(host, "version", None, text)
+
     async def run(self):
         await self.start()
         clients = [asyncio.create_task(self.client()) for _ in range(12)]
         await self.inject_faults()
         await asyncio.sleep(SETTLE_SECONDS)
+        await self.check_propagation()
         self.window.clear()
         await asyncio.sleep(3)
         self.stop_load = True
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -234,6 +234,11 @@
         self.target_port = target_port
         self.mode = "good"  # good, slow, silent, to_target_only, refuse
         self.delay_s = 0.0
+        self.stalls = 0  # Connections opened before the last stall are silent.
+
+    def stall_connections(self):
+        """Silences the open connections for good; new ones work."""
+        self.stalls += 1
 
     async def serve(self, reader, writer):
         if self.mode == "refuse":
@@ -252,12 +257,13 @@
             target_writer.close()
 
     async def forward(self, reader, writer, to_target):
+        opened = self.stalls
         try:
             while data := await reader.read(65536):
                 if self.mode == "slow":
                     await asyncio.sleep(self.delay_s)
-                silent = self.mode == "silent" or (
-                    self.mode == "to_target_only" and not to_target)
+                silent = (self.mode == "silent" or self.stalls != opened or (
+                    self.mode == "to_target_only" and not to_target))
                 if silent:
                     continue
                 writer.write(data)
