--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -562,6 +563,8 @@
         record.add(f"cannot run: {error!r}")
         print(f"cannot run: {error!r}")
     finally:
+        # Connections that are still open are collected after the loop is closed.
+        sys.unraisablehook = lambda _: None
         for host in hosts:
             host.kill()
     if os.environ.get("KEEP"):
