--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -1,6 +1,8 @@
-"""The entry of a draining leaf lapses and comes back."""
+"""The configuration changes while the two hosts that read the store are cut off."""
 
 import asyncio
+import collections
+import json
 import os
 import sys
 
@@ -8,34 +10,58 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 import standins  # noqa: E402
 
-SERVICE = "ledger-view"
-CLIENTS_PER_HOST = 20
-SILENT_S = 4.5   # More than three liveness report intervals of 1.2 s
-SERVED_S = 6.5   # "at times many seconds" after the ack
+HOSTS = 6
+CUT_S = 4.0  # core_cut: how = "race" (two at once), for_s = 4.0
+OLD, NEW = "ledger-view", "fleet-tracker"
+CLIENTS_PER_HOST = 3
+
+
+def reads_store(host):
+    """Whether a host reads the store itself, by its log."""
+    source = "store"
+    with open(os.path.join(host.work, f"host{host.number}.log"),
+              encoding="utf-8") as log:
+        for line in log:
+            entry = json.loads(line)
+            if entry["event"] == "source_in_use":
+                source = entry["source"]
+    return source == "store"
 
 
 async def scenario(record, work, hosts, trouble):
     store = standins.Store()
     await store.start()
-    await store.put("op/config", standins.config(7, [standins.route(
-        "rental-history-pull", "/goka902/", SERVICE, kind="non_idempotent")],
-        [SERVICE]))
+
+    def route(service):
+        return [standins.route("rental-history-pull", "/goka902/", service)]
+
+    await store.put("op/config", standins.config(7, route(OLD), [OLD, NEW]))
     leafs = []
-    for i in range(3):
-        leaf = standins.Leaf(store, record, SERVICE, f"i-leaf{i}", 0.09,
-                             zone=list(standins.ZONES)[i % 3])
-        await leaf.start()
-        leafs.append(leaf)
-    for i, zone in enumerate(standins.ZONES):
-        hosts.append(standins.Host(work, i, store.port, zone))
+    for service in (OLD, NEW):
+        for i in range(3):
+            leaf = standins.Leaf(store, record, service, f"i-{service}-{i}", 0.02)
+            await leaf.start()
+            leafs.append(leaf)
+    proxies = {}
+    for i in range(HOSTS):
+        proxy = standins.Proxy(store.port)
+        await proxy.start()
+        host = standins.Host(work, i, proxy.port)
+        proxies[host] = proxy
+        hosts.append(host)
     for host in hosts:
-        host.seeds = [f"{one.ip}:8224" for one in hosts]
+        host.seeds = [f"{one.ip}:8224" for one in hosts[:3]]
         host.start()
     for host in hosts:
         await host.wait_ready()
     await asyncio.sleep(standins.STABLE_S)
+    readers = [host for host in hosts if reads_store(host)]
+    record.add(f"hosts {[host.number for host in readers]} read the store")
+    if not 0 < len(readers) <= 2:
+        raise standins.CannotRun(f"{len(readers)} readers")
+    others = [host for host in hosts if host not in readers]
     stop = False
-    sent, statuses = {}, {}
+    sent = {}
 
     async def load(host, number):
         client = standins.Client(host, record)
@@ -43,42 +69,42 @@
         while not stop:
             count += 1
             attempt = f"c{number}-{count}"
-            sent[attempt] = record.now()
-            statuses[attempt], headers, _ = await client.request(
-                attempt, f"/goka902/{count}", "POST", b"order")
-            await asyncio.sleep(max(0.05, float(headers.get("retry-after", 0))))
+            sent[attempt] = (record.now(), host)
+            await client.request(attempt, f"/goka902/{count}")
+            await asyncio.sleep(0.05)
 
     clients = [asyncio.create_task(load(host, 100 * i + j))
-               for i, host in enumerate(hosts) for j in range(CLIENTS_PER_HOST)]
-    await asyncio.sleep(3)
-    leaving = leafs[0]
-    leave = asyncio.create_task(leaving.leave(SERVED_S))
+               for i, host in enumerate(others) for j in range(CLIENTS_PER_HOST)]
+    await asyncio.sleep(2)
+    if trouble:
+        for host in readers:
+            proxies[host].cut()
+        record.add("the readers are cut off from the store")
     await asyncio.sleep(0.1)
+    await store.put("op/config", standins.config(9, route(NEW), [OLD, NEW]))
     acked = record.now()
-    if trouble:
-        leaving.reports = False
-        record.add(f"{leaving.instance} is silent for the store")
-        await asyncio.sleep(SILENT_S)
-        leaving.reports = True
-        await leaving.report()
-        record.add(f"{leaving.instance} reports draining again")
-    await leave
-    await asyncio.sleep(2)
+    record.add(f"store acks version 9: /goka902/ goes to {NEW}")
+    await asyncio.sleep(CUT_S - 0.1)
+    for proxy in proxies.values():
+        proxy.heal()
+    record.add("the readers reach the store")
+    await asyncio.sleep(5)
     stop = True
     await asyncio.gather(*clients)
-    faults = []
-    for at, attempt in leaving.arrivals:
-        if at <= acked + standins.DRAIN_S:
-            continue
-        cut = attempt not in leaving.answered and statuses[attempt] in (0, 502, 504)
-        lost = "; the leaf's exit cut it off, the client got " \
-            f"{statuses[attempt] or 'no answer'}" if cut else ""
-        faults.append(f"DRAIN: {attempt} reached {leaving.instance} "
-                      f"{at - acked:.2f} s after the ack of draining{lost}")
-    counts = {s: list(statuses.values()).count(s) for s in set(statuses.values())}
-    record.add(f"{len(sent)} requests, statuses {counts}, "
-               f"{len(faults)} reached the leaf too late")
-    return sorted(faults, key=lambda fault: "cut it off" not in fault)
+    faults, last = [], collections.defaultdict(float)
+    for leaf in leafs:
+        for at, attempt in leaf.runs:
+            began, host = sent[attempt]
+            if leaf.service != OLD:
+                continue
+            last[host.number] = max(last[host.number], began - acked)
+            if began > acked + standins.PROPAGATION_S:
+                faults.append(f"CONFIG: {attempt}, sent to host {host.number} "
+                              f"{began - acked:.2f} s after the ack, ran on "
+                              f"{leaf.instance} of the old service")
+    record.add(f"{len(sent)} requests, {len(faults)} ran on the old service too late; "
+               f"last by host {dict(last)}")
+    return faults
 
 
 standins.run_case(FOLDER, scenario)
