--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -32,7 +32,7 @@
     for i, zone in enumerate(list(standins.ZONES)[:HOSTS]):
         hosts.append(standins.Host(work, i, proxy.port, zone))
     for host in hosts:
-        host.seeds = [f"{one.ip}:8224" for one in hosts]
+        host.seeds = [one.peer_address for one in hosts]
         host.start()
     for host in hosts:
         await host.wait_ready()
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -45,14 +45,14 @@
     for i in range(HOSTS):
         hosts.append(standins.Host(work, i, store.port))
     for host in hosts:
-        host.seeds = [f"{one.ip}:8224" for one in hosts[:3]]
+        host.seeds = [one.peer_address for one in hosts[:3]]
         host.start()
     for host in hosts:
         await host.wait_ready()
     await asyncio.sleep(standins.STABLE_S)
     sources = collections.Counter(source_of(host) for host in hosts)
     record.add(f"sources {dict(sources)}")
-    parents = [host for host in hosts if sources.get(f"{host.ip}:8224", 0) > 0]
+    parents = [host for host in hosts if sources.get(host.peer_address, 0) > 0]
     if not parents:
         raise standins.CannotRun("no host reads from another")
     parent = parents[0]
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -50,7 +50,7 @@
         proxies[host] = proxy
         hosts.append(host)
     for host in hosts:
-        host.seeds = [f"{one.ip}:8224" for one in hosts[:3]]
+        host.seeds = [one.peer_address for one in hosts[:3]]
         host.start()
     for host in hosts:
         await host.wait_ready()
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -13,6 +13,7 @@
 import re
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -454,27 +455,47 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: str(value_of(m.group(1))), text)
 
 
+def free_ports(ip, count):
+    """Ports below the ephemeral range that are free for TCP and UDP."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 30000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind((ip, port))
+        except OSError:
+            continue
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
 class Host:
     """One edge process on a loopback address of its own."""
 
-    PORT = 8226
-
     def __init__(self, work, number, store_port, zone=ZONE):
         self.work, self.number, self.zone = work, number, zone
         self.ip = (f"127.{random.randrange(16, 240)}."
                    f"{random.randrange(1, 250)}.{number + 1}")
-        self.port = self.PORT
+        (self.port, self.ready_port, self.lookup_port, self.peer_port,
+         self.metrics_port) = free_ports(self.ip, 5)
         self.store_port = store_port
         self.seeds = []
         self.process = None
 
+    @property
+    def peer_address(self):
+        return f"{self.ip}:{self.peer_port}"
+
     def fields(self):
         return {"Node": f"front-{self.zone}-{self.number}", "Zone": self.zone,
                 "Region": ZONES[self.zone], "Ip": self.ip, "Zones": ZONES,
-                "Listen": {"Front": f"{self.ip}:8226", "Ready": f"{self.ip}:8227",
-                           "Control": f"{self.ip}:8224",
-                           "directory": f"{self.ip}:8225"},
-                "Seeds": self.seeds or [f"{self.ip}:8224"],
+                "Listen": {"Front": f"{self.ip}:{self.port}",
+                           "Ready": f"{self.ip}:{self.ready_port}",
+                           "Control": self.peer_address,
+                           "directory": f"{self.ip}:{self.lookup_port}"},
+                "Seeds": self.seeds or [self.peer_address],
                 "Limits": {"MaxFds": 4100, "CpuShare": 0.25, "Cores": 1,
                            "LinkMbps": 1000.0},
                 "Bounds": BOUNDS,
@@ -483,7 +504,9 @@
     def start(self):
         path = os.path.join(self.work, f"host{self.number}.toml")
         with open(path, "w", encoding="utf-8") as file:
-            file.write(render_template(self.fields()))
+            # The template has a fixed port for metrics; it may be in use here.
+            file.write(render_template(self.fields()).replace(
+                f'"{self.ip}:9100"', f'"{self.ip}:{self.metrics_port}"'))
         with open(os.path.join(self.work, f"host{self.number}.log"), "ab") as log:
             self.process = subprocess.Popen(
                 ["target/bin/corianderrail", "edge"], cwd=ROOT,
@@ -494,7 +517,7 @@
     async def ready(self):
         try:
             reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(self.ip, 8227), 1)
+                asyncio.open_connection(self.ip, self.ready_port), 1)
             writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
             line = await asyncio.wait_for(reader.readline(), 1)
             writer.close()
