--- a/review/common/standins.py
+++ b/review/standins.py
@@ -20,7 +20,7 @@
 import time
 import urllib.parse
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 ZONE, REGION = "atl-midtown", "atl-metro"
 ZONES = {"atl-midtown": "atl-metro", "sav-westside": "coastal-ga",
          "gnv-lakeside": "north-ga"}
