Believe a leaf that says in its answers that it leaves

Cause: departures were learned from the registry only, and nothing read the header. Now leaf_departure keeps what is known of the end of one boot of a leaf, from the registry and from its answers; the earlier one decides, and nothing older brings the leaf back.

--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -53,6 +53,9 @@
   void Execute(gateway::disconnect_leaf_effect& effect) {
     leafs.Disconnect(effect.leaf);
   }
+  void Execute(gateway::stop_sending_effect& effect) {
+    leafs.StopSending(effect.leaf, effect.send_before);
+  }
   void Execute(gateway::answer_effect& effect);
   void Execute(gateway::log_effect& effect) { log.Write(effect, Now()); }
 
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "edge/leaf_pool_state.h"
+#include "edge/process_time.h"
 
 namespace corianderrail::edge {
 
@@ -62,12 +63,22 @@
   return best;
 }
 
+/** Fails the pending requests of a leaf that takes no more of them. */
+void leaf_pool::state::Withdraw(leaf& from) {
+  if (Now() < from.send_before) return;
+  for (const gateway::send_leaf_effect& one : from.pending) {
+    Fail(one.call, leaf_failure::withdrawn);
+  }
+  from.pending.clear();
+}
+
 /** Sends pending requests on idle connections and opens connections for the
- *  rest. */
+ *  rest. Each request to a leaf passes here. */
 void leaf_pool::state::SendPending(leaf_handle handle) {
   const auto found = leafs.find(handle);
   if (found == leafs.end()) return;
   leaf& to = found->second;
+  Withdraw(to);
   while (!to.pending.empty()) {
     const connection_ptr idle = PopIdle(to, !to.pending.front().idempotent);
     if (!idle) break;
@@ -178,6 +189,7 @@
   auto& to = state_->Leaf(handle, effect.address);
   to.max_connections = std::max<std::uint32_t>(effect.connections, 1);
   to.keep_idle = effect.keep_idle;
+  to.send_before = effect.send_before;
   to.pending.push_back(std::move(effect));
   state_->SendPending(handle);
 }
@@ -207,18 +219,30 @@
   if (to.opening == 0) state_->Open(effect.leaf, to);
 }
 
+void leaf_pool::StopSending(leaf_handle leaf, time_point send_before) {
+  const auto found = state_->leafs.find(leaf);
+  if (found != state_->leafs.end()) found->second.send_before = send_before;
+}
+
 void leaf_pool::Disconnect(leaf_handle leaf) {
   const auto found = state_->leafs.find(leaf);
   if (found == state_->leafs.end()) return;
   found->second.disconnecting = true;
   const auto idle = found->second.idle;
   for (const auto& one : idle) one->Close();
+  // Closing the last connection erased the leaf.
+  const auto left = state_->leafs.find(leaf);
+  if (left == state_->leafs.end()) return;
+  if (left->second.all.empty() && left->second.pending.empty()) {
+    state_->leafs.erase(left);
+  }
 }
 
 void leaf_pool::Sweep() {
   const auto now = clock::now();
   std::vector<state::connection_ptr> expired;
-  for (const auto& [handle, to] : state_->leafs) {
+  for (auto& [handle, to] : state_->leafs) {
+    state_->Withdraw(to);
     for (const auto& one : to.idle) {
       const bool surplus =
           one != to.idle.back() && now - one->IdleSince() > kSurplusIdleLimit;
--- a/packages/edge/leaf_pool.h
+++ b/packages/edge/leaf_pool.h
@@ -47,6 +47,10 @@
    *  follows. */
   void Connect(const gateway::connect_leaf_effect& effect);
 
+  /** From `send_before` on, sends the leaf no request: those that wait for a
+   *  connection then fail as withdrawn. kNever lifts the limit. */
+  void StopSending(gateway::leaf_handle leaf, time_point send_before);
+
   /** Closes the idle connections to a leaf, and each busy one when it becomes
    *  idle. */
   void Disconnect(gateway::leaf_handle leaf);
--- a/packages/edge/leaf_pool_state.h
+++ b/packages/edge/leaf_pool_state.h
@@ -39,6 +39,7 @@
     std::uint32_t max_connections = 1;  ///< Set by the last request.
     std::uint32_t opening = 0;          ///< Connections being opened.
     clock::time_point full_until{};     ///< At its connection limit until then.
+    time_point send_before = kNever;    ///< Requests that wait then fail.
     bool probe_pending = false;         ///< A Connect() awaits its event.
     bool disconnecting = false;         ///< Connections close once idle.
     bool keep_idle = true;              ///< Set by the last request.
@@ -53,6 +54,7 @@
 
   leaf& Leaf(gateway::leaf_handle handle, const std::string& address);
   void SendPending(gateway::leaf_handle handle);
+  void Withdraw(leaf& from);
   void Open(gateway::leaf_handle handle, leaf& to);
   void OnOpened(gateway::leaf_handle handle, const connection_ptr& one,
                 open_outcome outcome);
--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -32,6 +32,7 @@
         {"leaf_limited", 10, 50},
         {"leaf_listed", 10, 200},
         {"leaf_delisted", 10, 200},
+        {"leaf_leaving", 10, 200},
         {"config_in_force", 5, 20},
     }};
 
--- a/packages/edge/tests/leaf_pool_test.cpp
+++ b/packages/edge/tests/leaf_pool_test.cpp
@@ -15,6 +15,8 @@
 #include <variant>
 #include <vector>
 
+#include "edge/process_time.h"
+
 namespace corianderrail::edge {
 
 namespace {
@@ -71,6 +73,7 @@
     effect.idempotent = idempotent;
     effect.connections = 2;
     effect.keep_idle = keep_idle_;
+    effect.send_before = send_before_;
     pool_.Send(std::move(effect));
     Run();
   }
@@ -107,7 +110,8 @@
   }
 
  protected:
-  bool keep_idle_ = true;  ///< Of the requests from now on.
+  bool keep_idle_ = true;            ///< Of the requests from now on.
+  time_point send_before_ = kNever;  ///< Likewise.
 
   void Accept() {
     acceptor_.async_accept([this](auto error, tcp::socket socket) {
@@ -413,4 +417,38 @@
   CHECK(Failure(1) == leaf_failure::not_sent);
 }
 
+// Guards against a request that is written to a leaf after its drain time,
+// because it waited until a connection was free.
+TEST_CASE_METHOD(pool_fixture, "Pool_LeafStopsWhileRequestWaits_IsWithdrawn") {
+  Send("a");
+  Send("b");
+  Send("c");
+  send_before_ = Now() + milliseconds(30);
+  pool_.StopSending(gateway::leaf_handle{1}, send_before_);
+  Run(milliseconds(40));
+  pool_.Sweep();
+  Run();
+  CHECK(Failure(3) == leaf_failure::withdrawn);
+  CHECK(Outcome(1).empty());
+  CHECK(Outcome(2).empty());
+  Send("d");
+  CHECK(Failure(4) == leaf_failure::withdrawn);
+}
+
+// Guards against a statement of a leaf that is lost between the wire and the
+// rules.
+TEST_CASE_METHOD(pool_fixture, "Pool_LeafSaysItLeaves_IsPassedOn") {
+  script_ = {{Answer("a", "1", "Server-Leaving: 1\r\n")},
+             {Answer("b", "2", "server-leaving:  1 \r\n")},
+             {Answer("c", "3", "Server-Leaving: 0\r\n")}};
+  for (const char* attempt : {"a", "b", "c"}) Send(attempt);
+  std::vector<bool> leaving;
+  for (const gateway::event& one : events_) {
+    const auto* answer = std::get_if<leaf_answer_event>(&one);
+    REQUIRE(answer != nullptr);
+    leaving.push_back(answer->answer.leaving);
+  }
+  CHECK(leaving == std::vector<bool>{true, true, false});
+}
+
 }  // namespace corianderrail::edge
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -108,7 +108,15 @@
 void gateway::RecordAnswer(leaf_state& leaf, const open_request& call,
                            leaf_call id, const leaf_answer& answer,
                            time_point now) {
-  switch (KindOf(answer)) {
+  const answer_kind kind = KindOf(answer);
+  if (kind != answer_kind::misdirected) {
+    if (answer.leaving) {
+      OnStatedLeaving(leaf, now);
+    } else {
+      leaf.departure.OnServing(call.sent);
+    }
+  }
+  switch (kind) {
     case answer_kind::success:
       if (call.stats != nullptr) {
         call.stats->Add(leaf.record.zone, now - call.sent, now);
@@ -134,13 +142,35 @@
   }
 }
 
+/** What a leaf says of itself holds whatever the registry says, which may be
+ *  out of reach. */
+void gateway::OnStatedLeaving(leaf_state& leaf, time_point now) {
+  if (!leaf.departure.OnStatedLeaving()) return;
+  LimitSending(leaf);
+  const time_point send_before = directory_.SendBefore(leaf);
+  effects_->push_back(
+      log_effect{decision::leaf_leaving,
+                 leaf.record.instance,
+                 {{"service", leaf.record.service},
+                  {"born_ms", std::to_string(leaf.record.born_unix_ms)},
+                  {"listed", leaf.listed == listing::listed ? "yes" : "no"},
+                  {"left_us", std::to_string((send_before - now).count())}}});
+}
+
+/** Withdraws the requests to a leaving leaf that wait for a connection once
+ *  their time is over. */
+void gateway::LimitSending(const leaf_state& leaf) {
+  const time_point send_before = directory_.SendBefore(leaf);
+  effects_->push_back(stop_sending_effect{leaf.handle, send_before});
+}
+
 void gateway::On(leaf_failure_event& input, time_point now) {
   const auto id = static_cast<std::uint64_t>(input.call);
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   const open_request call = found->second;
   calls_.erase(found);
-  ++counters_.leaf_failures;
+  if (input.failure != leaf_failure::withdrawn) ++counters_.leaf_failures;
   CheckSoon(now);
   if (leaf_state* leaf = directory_.Find(call.leaf)) {
     const bool before = leaf->monitor.OnProbation();
@@ -157,7 +187,8 @@
     std::erase(pending.calls, input.call);
     --pending.parts[call.part].open;
     const bool ran = input.failure != leaf_failure::not_sent &&
-                     input.failure != leaf_failure::full;
+                     input.failure != leaf_failure::full &&
+                     input.failure != leaf_failure::withdrawn;
     if (!ran) std::erase(pending.parts[call.part].asked, call.leaf);
     HandleFailure(pending, call.part, ran, now);
     Advance(call.exchange, now);
@@ -215,6 +246,8 @@
     for (const leaf_handle ended : directory_.Apply(change, now)) {
       effects_->push_back(disconnect_leaf_effect{ended});
     }
+    const leaf_state* leaf = directory_.FindKey(change.key);
+    if (leaf != nullptr) LimitSending(*leaf);
     const bool serves = change.record && !change.record->draining;
     if (serves) touched.insert(change.record->service);
     effects_->push_back(log_effect{
@@ -378,7 +411,7 @@
 }
 
 void gateway::Connect(leaf_state& leaf) {
-  if (leaf.connecting || leaf.listed != listing::listed) return;
+  if (leaf.connecting || leaf.departure.Since()) return;
   leaf.connecting = true;
   effects_->push_back(connect_leaf_effect{leaf.handle, leaf.record.address});
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -101,6 +101,8 @@
                     const leaf_answer& answer, time_point now);
   bool CheckLeafs(time_point now);
   void CheckSoon(time_point now);
+  void OnStatedLeaving(leaf_state& leaf, time_point now);
+  void LimitSending(const leaf_state& leaf);
   void LogLimit(const leaf_state& leaf, time_point now);
   void LogSuspicion(const leaf_state& leaf, std::string_view reason);
   const std::shared_ptr<service_state>& Service(const std::string& name);
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -202,7 +202,8 @@
   effects_->push_back(send_leaf_effect{
       call, leaf.handle, leaf.record.address, leaf.record.instance,
       pending.request, pending.deadline - now, pending.Idempotent(),
-      Limit(leaf, now), MayKeepIdle(*piece.service)});
+      Limit(leaf, now), MayKeepIdle(*piece.service),
+      directory_.SendBefore(leaf)});
 }
 
 /** Sends a late part to a second leaf that can answer before the deadline. */
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/time_type.h"
 #include "gateway/connection_share.h"
 #include "gateway/message_type.h"
 #include "gateway/registry_type.h"
@@ -108,6 +109,7 @@
   bool idempotent = false;     ///< A possibly stale connection may be reused.
   std::uint32_t connections = 1;  ///< Maximum connections to this leaf.
   bool keep_idle = true;  ///< The connection may stay open after the answer.
+  time_point send_before = kNever;  ///< See stop_sending_effect.
 };
 
 /** Cancels a leaf request; no event follows. */
@@ -126,6 +128,13 @@
   leaf_handle leaf{};  ///< This handle is not used again.
 };
 
+/** From a time on, sends no request to a leaf: those that still wait for a
+ *  connection fail as withdrawn. */
+struct stop_sending_effect {
+  leaf_handle leaf{};        ///< The leaving leaf.
+  time_point send_before{};  ///< No request is sent from this time on.
+};
+
 /** Answers a client. */
 struct answer_effect {
   exchange_id exchange{};  ///< From request_event.
@@ -145,9 +154,10 @@
   leaf_limited,     ///< A leaf has a queue and got a concurrency limit.
   leaf_listed,      ///< The registry added or changed a leaf.
   leaf_delisted,    ///< The registry removed a leaf, or it is draining.
+  leaf_leaving,     ///< A leaf stated in an answer that it will stop.
   config_in_force,  ///< A newer configuration became active.
 };
-inline constexpr std::size_t kDecisions = 12;
+inline constexpr std::size_t kDecisions = 13;
 
 /** One value that a decision was based on. */
 struct decision_input {
@@ -162,9 +172,9 @@
   std::vector<decision_input> inputs;  ///< Values that led to it.
 };
 
-using effect =
-    std::variant<send_leaf_effect, cancel_leaf_effect, connect_leaf_effect,
-                 disconnect_leaf_effect, answer_effect, log_effect>;
+using effect = std::variant<send_leaf_effect, cancel_leaf_effect,
+                            connect_leaf_effect, disconnect_leaf_effect,
+                            stop_sending_effect, answer_effect, log_effect>;
 using effect_list = std::vector<effect>;
 
 /** Why a request is sent to a leaf. */
--- a/packages/gateway/leaf_directory.cpp
+++ b/packages/gateway/leaf_directory.cpp
@@ -58,8 +58,7 @@
   leaf.handle = leaf_handle{next_handle_++};
   leaf.key = key;
   leaf.record = record;
-  leaf.listed = record.draining ? listing::draining : listing::listed;
-  leaf.listed_since = now;
+  SetListing(leaf, record.draining ? listing::draining : listing::listed, now);
   leaf.cold_until = now + record.cold_left;
   by_key_[key] = &leaf;
   by_service_[record.service].push_back(&leaf);
@@ -69,12 +68,12 @@
 
 void leaf_directory::SetListing(leaf_state& leaf, listing listed,
                                 time_point now) {
-  if (leaf.listed == listed) return;
-  // A leaf that drained before its removal has been leaving since it began to
-  // drain.
-  const bool was_leaving = leaf.listed != listing::listed;
-  if (!was_leaving || listed == listing::listed) leaf.listed_since = now;
   leaf.listed = listed;
+  if (listed == listing::listed) {
+    leaf.departure.OnListed();
+  } else {
+    leaf.departure.OnUnlisted(now);
+  }
 }
 
 void leaf_directory::Detach(const leaf_state& leaf) {
@@ -96,14 +95,23 @@
   return found == leafs_.end() ? nullptr : found->second.get();
 }
 
+const leaf_state* leaf_directory::FindKey(const std::string& key) const {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second;
+}
+
+time_point leaf_directory::SendBefore(const leaf_state& leaf) const {
+  const auto since = leaf.departure.Since();
+  return since ? *since + settings_.last_resort : kNever;
+}
+
 leaf_eligibility leaf_directory::Eligibility(const leaf_state& leaf,
                                              time_point now) const {
   if (leaf.replaced) return leaf_eligibility::unusable;
   if (leaf.monitor.OnProbation()) return leaf_eligibility::unusable;
-  if (leaf.listed != listing::listed) {
-    const bool allowed = now < leaf.listed_since + settings_.last_resort;
-    return allowed ? leaf_eligibility::last_resort : leaf_eligibility::unusable;
-  }
+  const time_point send_before = SendBefore(leaf);
+  if (now >= send_before) return leaf_eligibility::unusable;
+  if (send_before != kNever) return leaf_eligibility::last_resort;
   return leaf.monitor.Stalled(now) ? leaf_eligibility::stalled
                                    : leaf_eligibility::healthy;
 }
@@ -112,7 +120,7 @@
   std::vector<leaf_handle> ended;
   for (const auto& [handle, leaf] : leafs_) {
     if (leaf->listed != listing::removed) continue;
-    if (now < leaf->listed_since + settings_.last_resort) continue;
+    if (now < SendBefore(*leaf)) continue;
     if (leaf->monitor.Open() == 0) ended.push_back(handle);
   }
   for (const leaf_handle handle : ended) {
--- a/packages/gateway/leaf_directory.h
+++ b/packages/gateway/leaf_directory.h
@@ -12,6 +12,7 @@
 
 #include "core/time_type.h"
 #include "gateway/leaf_choice.h"
+#include "gateway/leaf_departure.h"
 #include "gateway/leaf_monitor.h"
 #include "gateway/message_type.h"
 #include "gateway/registry_type.h"
@@ -31,11 +32,11 @@
   std::string key;       ///< Key in the registry.
   leaf_record record;    ///< Latest registry entry.
   listing listed = listing::listed;
-  time_point listed_since{};  ///< When it was listed, or began to leave.
-  time_point cold_until{};    ///< End of its slow start.
-  bool replaced = false;      ///< Another leaf answers at its address.
-  bool connecting = false;    ///< A connect_leaf_effect is pending.
-  leaf_monitor monitor;       ///< Health by this host's requests.
+  leaf_departure departure;  ///< Since when it leaves.
+  time_point cold_until{};   ///< End of its slow start.
+  bool replaced = false;     ///< Another leaf answers at its address.
+  bool connecting = false;   ///< A connect_leaf_effect is pending.
+  leaf_monitor monitor;      ///< Health by this host's requests.
 };
 
 /** Timing of leafs that drain or are removed. */
@@ -63,6 +64,12 @@
 
   leaf_state* Find(leaf_handle handle);
 
+  /** Registration under a key of the registry; null without one. */
+  const leaf_state* FindKey(const std::string& key) const;
+
+  /** From when a leaf gets no requests; kNever while it does not leave. */
+  time_point SendBefore(const leaf_state& leaf) const;
+
   /** Whether a leaf may get new requests. */
   leaf_eligibility Eligibility(const leaf_state& leaf, time_point now) const;
 
--- a/packages/gateway/leaf_monitor.cpp
+++ b/packages/gateway/leaf_monitor.cpp
@@ -103,6 +103,10 @@
 
 void leaf_monitor::OnFailure(leaf_call call, leaf_failure failure,
                              time_point now) {
+  if (failure == leaf_failure::withdrawn) {
+    DropCall(call);
+    return;
+  }
   if (failure == leaf_failure::rejected || failure == leaf_failure::full) {
     OnShed(call, now);
     if (failure == leaf_failure::full) BackOffConnecting(now);
--- a/packages/gateway/message_type.h
+++ b/packages/gateway/message_type.h
@@ -52,6 +52,7 @@
   std::string signature;  ///< Signature of the leaf that ran it, or empty.
   std::string attempt;    ///< Attempt named by the leaf; may be empty.
   bool not_run = false;   ///< The leaf states that the request did not run.
+  bool leaving = false;   ///< The leaf states that it will stop.
   bool encoded = false;   ///< The body has a content encoding.
   std::vector<header_field> fields;  ///< Remaining end-to-end fields.
   std::string body;                  ///< Complete body.
@@ -65,6 +66,7 @@
   rejected,   ///< A leaf at its connection limit reset a new connection.
   malformed,  ///< Invalid HTTP, or an answer to another request.
   timed_out,  ///< No answer before the deadline.
+  withdrawn,  ///< No byte was sent: the leaf takes no more requests.
 };
 
 /** Why this host answers in place of a leaf. */
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -170,6 +171,7 @@
   const std::vector<leaf_call>& Cancelled() const { return cancelled_; }
   const std::vector<log_effect>& Logged() const { return logged_; }
   const std::vector<connect_leaf_effect>& Connects() const { return connects_; }
+  const std::vector<stop_sending_effect>& Stops() const { return stops_; }
   gateway& Core() { return *core_; }
   time_point Now() const { return now_; }
 
@@ -197,6 +199,7 @@
     connecting_.push_back(one.leaf);
   }
   void Collect(disconnect_leaf_effect&) {}
+  void Collect(stop_sending_effect& one) { stops_.push_back(one); }
   void Collect(answer_effect& one) { answers_.push_back(std::move(one)); }
   void Collect(log_effect& one) { logged_.push_back(std::move(one)); }
 
@@ -210,6 +213,31 @@
   std::vector<connect_leaf_effect> connects_;
   std::vector<leaf_handle> connecting_;
   std::vector<log_effect> logged_;
+  std::vector<stop_sending_effect> stops_;
+};
+
+/** A gateway with a leaf of each service in three zones. */
+class plain_fixture : public gateway_fixture {
+ public:
+  plain_fixture() {
+    Configure(Config());
+    RegisterAll({"a-1", "b-1", "c-1"});
+    DrainSends();
+  }
+
+  /** The only leaf request since the last call. */
+  send_leaf_effect OnlySend() {
+    auto sends = DrainSends();
+    REQUIRE(sends.size() == 1);
+    return sends[0];
+  }
+
+  static leaf_answer NotRunAnswer() {
+    leaf_answer answer;
+    answer.status = 503;
+    answer.not_run = true;
+    return answer;
+  }
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/tests/gateway_plain_test.cpp
+++ b/packages/gateway/tests/gateway_plain_test.cpp
@@ -6,33 +6,6 @@
 
 namespace corianderrail::gateway {
 
-namespace {
-
-class plain_fixture : public gateway_fixture {
- public:
-  plain_fixture() {
-    Configure(Config());
-    RegisterAll({"a-1", "b-1", "c-1"});
-    DrainSends();
-  }
-
-  /** The only leaf request since the last call. */
-  send_leaf_effect OnlySend() {
-    auto sends = DrainSends();
-    REQUIRE(sends.size() == 1);
-    return sends[0];
-  }
-
-  static leaf_answer NotRunAnswer() {
-    leaf_answer answer;
-    answer.status = 503;
-    answer.not_run = true;
-    return answer;
-  }
-};
-
-}  // namespace
-
 // Guards against modifying a leaf's answer before it reaches the client.
 TEST_CASE_METHOD(plain_fixture, "Request_LeafAnswers_IsForwardedUnchanged") {
   const auto id = Request("/read/x");
