Ask the store itself when items are stale, whatever the source says

Cause: a source that lost the store goes on answering, and the age of its items counted only after 7 s; the check against other hosts is blind while nobody has the change. Ruled out: lost connections between hosts, their answers arrived with their age.

Now items that were not confirmed for 0.55 of the smaller of ConfigPropagationMs and DrainMs are stale: the host asks the store beside the open read, on a connection of its own, uses the changes in that answer, and leaves a source that did not have them. Readers end watches in time for the next confirmation, hosts pass each confirmation on at once, and hosts with stale items follow a peer with a newer revision without delay.

--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -189,6 +189,8 @@
   link.seed = RandomSeed();
   link.reads.longest_read =
       gateway::LongestRead(settings.config_propagation, settings.recovery);
+  link.max_age =
+      gateway::MaxItemAge(settings.config_propagation, settings.leaf_drain);
   link.members = [this] { return std::span(members); };
   link.on_update = [this](const gateway::store_update& update) {
     OnStoreUpdate(update);
@@ -370,7 +372,8 @@
 void edge_process::state::CheckRevisionLag() {
   const std::uint64_t own = store.Reader().CompleteRevision();
   const std::uint64_t known = peers.HighestRevision();
-  if (!revision_lag.Overdue(own, known, Now())) return;
+  const bool stale = store.Reader().Stale(Now());
+  if (!revision_lag.Overdue(own, known, Now(), stale)) return;
   if (!store.SwitchSource(known)) return;
   const decision_input inputs[] = {{"revision", std::to_string(own)},
                                    {"peer_revision", std::to_string(known)}};
--- a/packages/edge/relay_server.cpp
+++ b/packages/edge/relay_server.cpp
@@ -71,23 +71,27 @@
   return true;
 }
 
-void relay_server::AnswerWaiting(time_point now) {
+/** A new confirmation is passed on at once: without it, the hosts that read
+ * from this one would take their items for stale. */
+void relay_server::AnswerWaiting(time_point now, bool confirmed_anew) {
   std::vector<waiting_request> waiting;
   waiting.swap(waiting_);
   for (const waiting_request& one : waiting) {
-    if (!Answer(one, now >= one.until, now)) waiting_.push_back(one);
+    const bool due = confirmed_anew || now >= one.until;
+    if (!Answer(one, due, now)) waiting_.push_back(one);
   }
 }
 
 void relay_server::Publish(std::span<const gateway::store_item> changes,
                            std::uint64_t revision, time_point confirmed) {
   cache_.Apply(changes, revision);
+  const bool confirmed_anew = confirmed > confirmed_;
   confirmed_ = std::max(confirmed_, confirmed);
-  if (!changes.empty()) AnswerWaiting(Now());
+  if (confirmed_anew || !changes.empty()) AnswerWaiting(Now(), confirmed_anew);
 }
 
 void relay_server::Sweep(time_point now) {
-  AnswerWaiting(now);
+  AnswerWaiting(now, false);
   server_.Sweep();
 }
 
--- a/packages/edge/relay_server.h
+++ b/packages/edge/relay_server.h
@@ -22,7 +22,7 @@
 
   /**
    * Applies changes that this host has read and answers the requests that wait
-   * for them.
+   * for them, or for a new confirmation.
    * @param revision All changes up to it are known.
    * @param confirmed When the store last confirmed the items.
    */
@@ -43,7 +43,7 @@
 
   void OnRequest(request_id id, const std::string& target);
   bool Answer(const waiting_request& one, bool expired, time_point now);
-  void AnswerWaiting(time_point now);
+  void AnswerWaiting(time_point now, bool confirmed_anew);
 
   gateway::store_cache cache_;
   time_point confirmed_{};  ///< When the store last confirmed the items.
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -17,14 +17,6 @@
 
 constexpr std::string_view kStoreSource = "store";
 
-/** True when the store answered a read, even if it lacks the history. */
-bool IsAnswer(gateway::store_read_kind kind, const http_result& result) {
-  const auto reply =
-      platform::DecodeStoreReply(kind, result.status, result.body);
-  const auto* failure = std::get_if<store_failure>(&reply);
-  return failure == nullptr || *failure == store_failure::compacted;
-}
-
 }  // namespace
 
 store_link::store_link(boost::asio::io_context& io,
@@ -35,8 +27,8 @@
       probe_timer_(io),
       store_(io, settings_.store_address),
       probe_(io, settings_.store_address),
-      reader_(
-          {settings_.self, settings_.zone, settings_.seed, settings_.reads}),
+      reader_({settings_.self, settings_.zone, settings_.seed, settings_.reads,
+               settings_.max_age}),
       reported_source_(kStoreSource) {}
 
 void store_link::Start() { ReadNext(); }
@@ -66,11 +58,8 @@
 void store_link::ReadNext() {
   const auto due = reader_.Next(settings_.members(), Now());
   if (due) {
-    if (reader_.Probing()) {
-      ProbeNext();
-    } else {
-      probe_.Cancel();
-    }
+    if (!reader_.Probing()) probe_.Cancel();
+    ProbeNext();
     read_began_ = Now();
     if (due->peer) {
       ReadPeer(*due->peer, due->read);
@@ -86,14 +75,14 @@
   });
 }
 
-/** Probes the store while a peer takes its place. */
+/** Probes the store while a peer takes its place or the items are stale. */
 void store_link::ProbeNext() {
   const auto due = reader_.NextProbe(Now());
   if (due) {
     ++store_calls_[static_cast<std::size_t>(due->cause)];
     probe_.Get(platform::EncodeStoreRead(*due), due->timeout,
                [this, kind = due->kind](std::optional<http_result> result) {
-                 OnProbe(result && IsAnswer(kind, *result));
+                 OnProbe(kind, std::move(result));
                });
     return;
   }
@@ -104,15 +93,25 @@
   });
 }
 
-void store_link::OnProbe(bool answered) {
-  if (!answered) {
+void store_link::OnProbe(gateway::store_read_kind kind,
+                         std::optional<http_result> result) {
+  std::variant<gateway::store_reply, store_failure> reply =
+      store_failure::unreachable;
+  if (result) {
+    reply = platform::DecodeStoreReply(kind, result->status, result->body);
+  }
+  if (auto* items = std::get_if<gateway::store_reply>(&reply)) {
+    settings_.on_update(reader_.OnProbeAnswered(std::move(*items), Now()));
+  } else if (std::get<store_failure>(reply) == store_failure::compacted) {
+    reader_.OnProbeCompacted(Now());
+    if (reader_.ListsStore()) return;
+  } else {
     reader_.OnProbeFailed(Now());
     ProbeNext();
     return;
   }
-  reader_.OnProbeAnswered();
-  // An answer of the peer that has begun is worth waiting for.
-  if (peer_ && peer_->Receiving()) return;
+  // An answer that has begun is worth waiting for.
+  if (store_.Receiving() || (peer_ && peer_->Receiving())) return;
   Reconnect();
 }
 
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -35,6 +35,7 @@
   std::string zone;                        ///< Its availability zone.
   std::uint64_t seed = 0;                  ///< Of the random backoff.
   gateway::store_follower_settings reads;  ///< Timing of reads.
+  duration max_age{};                      ///< Older items are stale.
   std::function<std::span<const member_record>()>
       members;  ///< Hosts known now.
   std::function<void(const gateway::store_update&)>
@@ -60,6 +61,8 @@
    *  the present connections may be stale. */
   void Reconnect();
 
+  void SetMaxAge(duration max_age) { reader_.SetMaxAge(max_age); }
+
   const gateway::store_reader& Reader() const { return reader_; }
   const gateway::store_read_counts& StoreCalls() const { return store_calls_; }
   std::uint64_t Failures() const { return failures_; }
@@ -68,7 +71,8 @@
  private:
   void ReadNext();
   void ProbeNext();
-  void OnProbe(bool answered);
+  void OnProbe(gateway::store_read_kind kind,
+               std::optional<http_result> result);
   void ReadStore(const gateway::store_read& read);
   void ReadPeer(const std::string& address, const gateway::store_read& read);
   void OnReply(gateway::store_reply reply,
--- a/packages/gateway/lag_detector.h
+++ b/packages/gateway/lag_detector.h
@@ -18,9 +18,12 @@
   /**
    * @param own Newest revision that this host knows.
    * @param peers Newest revision that any peer claims to know.
+   * @param stale The items of this host were not confirmed in time, so the
+   *     usual way of a change is interrupted.
    * @return True when a change is overdue, at most once per propagation time.
    */
-  bool Overdue(std::uint64_t own, std::uint64_t peers, time_point now);
+  bool Overdue(std::uint64_t own, std::uint64_t peers, time_point now,
+               bool stale = false);
 
  private:
   std::uint64_t expected_ = 0;  ///< Revision that must arrive; 0 for none.
--- a/packages/gateway/source_choice.cpp
+++ b/packages/gateway/source_choice.cpp
@@ -173,7 +173,8 @@
   hops_ = 0;
   const ranking hosts = Rank(members, zone);
   const std::size_t own = OwnRank(hosts);
-  const bool is_reader = own < settings_.readers || own == hosts.size();
+  const bool is_reader = own < settings_.readers || own == hosts.size() ||
+                         (store_needed_ && now >= store_avoided_);
   const bool store_fails = now < store_avoided_;
   if (missing > 0) {
     const member_record* source = BestWith(members, zone, missing);
@@ -189,6 +190,7 @@
     const bool useful = best != nullptr && (has_items || HasItems(*best));
     if (useful) source_ = best->peer_address;
   }
+  is_reader_ = is_reader;
   replaces_store_ = is_reader && store_fails && source_;
   return source_;
 }
@@ -203,6 +205,7 @@
 }
 
 void source_choice::OnAnswer(duration age, time_point now) {
+  store_needed_ = store_needed_ && source_;
   confirmed_ = std::max(confirmed_, now - age);
   const duration allowed =
       settings_.max_age +
--- a/packages/gateway/source_choice.h
+++ b/packages/gateway/source_choice.h
@@ -81,9 +81,20 @@
   /** True when a peer was chosen last only because the store failed. */
   bool ReplacesStore() const { return replaces_store_; }
 
+  /** True when this host was a reader of the store in the last choice. */
+  bool IsReader() const { return is_reader_; }
+
+  /** The store confirmed the items at this time, beside the chosen source. */
+  void OnStoreConfirmed(time_point at) {
+    confirmed_ = std::max(confirmed_, at);
+  }
+
   /** The store answers again and may be chosen at once. */
   void OnStoreAnswered() { store_avoided_ = {}; }
 
+  /** Only the store has what this host lacks; it is chosen until it answers. */
+  void OnStoreNeeded() { store_needed_ = true; }
+
  private:
   using ranking = std::vector<const member_record*>;
 
@@ -103,6 +114,8 @@
   source_settings settings_;
   std::optional<std::string> source_;  ///< Peer address; empty for the store.
   bool replaces_store_ = false;
+  bool is_reader_ = false;
+  bool store_needed_ = false;
   std::size_t hops_ = 0;  ///< From the source to its reader.
   std::map<std::string, time_point> avoided_;  ///< Expiry, by peer address.
   time_point store_avoided_{};
--- a/packages/gateway/store_follower.cpp
+++ b/packages/gateway/store_follower.cpp
@@ -131,8 +131,7 @@
   due_ = first && from_store_ ? now + settings_.first_watch_delay : now;
 }
 
-std::vector<store_item> store_follower::OnChanges(store_reply reply,
-                                                  time_point now) {
+std::vector<store_item> store_follower::OnOtherReply(store_reply reply) {
   std::vector<store_item> changes;
   std::sort(reply.items.begin(), reply.items.end(),
             [](const store_item& a, const store_item& b) {
@@ -142,6 +141,12 @@
     Accept(std::move(item), changes);
   }
   revision_ = std::max(revision_, reply.revision);
+  return changes;
+}
+
+std::vector<store_item> store_follower::OnChanges(store_reply reply,
+                                                  time_point now) {
+  std::vector<store_item> changes = OnOtherReply(std::move(reply));
   if (next_ == store_read_cause::catch_up) {
     CompleteListing(now);
     return changes;
--- a/packages/gateway/store_follower.h
+++ b/packages/gateway/store_follower.h
@@ -80,6 +80,9 @@
   std::vector<store_item> OnReply(store_reply reply, time_point now,
                                   bool from_store = true);
 
+  /** Handles a reply to a watch that was read beside the open read. */
+  std::vector<store_item> OnOtherReply(store_reply reply);
+
   void OnFailure(store_failure failure, time_point now);
 
   /** Makes the next read due now, because a change is known to be missing. */
--- a/packages/gateway/store_probe.cpp
+++ b/packages/gateway/store_probe.cpp
@@ -19,8 +19,12 @@
 
 }  // namespace
 
-void store_probe::Start(time_point now) {
-  if (due_ == kNever) due_ = now;
+void store_probe::Start(time_point now, duration spread) {
+  spread_ = spread;
+  if (due_ != kNever) return;
+  due_ =
+      now +
+      duration(random_.Below(static_cast<std::uint64_t>(spread.count()) + 1));
 }
 
 void store_probe::Stop() {
@@ -41,8 +45,10 @@
   if (!open_) return;
   open_ = false;
   const duration pause =
-      std::min(kFirstPause * (1 << std::min<std::uint32_t>(failures_, 8)),
-               kLongestPause);
+      spread_ > kLongestPause
+          ? spread_
+          : std::min(kFirstPause * (1 << std::min<std::uint32_t>(failures_, 8)),
+                     kLongestPause);
   ++failures_;
   // Half of the pause is random, so that hosts do not probe simultaneously.
   due_ = now + pause / 2 +
--- a/packages/gateway/store_probe.h
+++ b/packages/gateway/store_probe.h
@@ -11,16 +11,19 @@
 namespace corianderrail::gateway {
 
 /**
- * Schedules short reads of the store by a host that reads from a peer in its
- * place. Without them, hosts that lost the store at the same moment would read
- * from each other, and none would notice the return of the store.
+ * Schedules short reads of the store beside the usual one, by a host that reads
+ * from a peer in place of the store, or whose items were not confirmed in time.
+ * Without them, hosts that lost the store at the same moment would read from
+ * each other, and hosts behind a source that lost it would not notice.
  */
 class store_probe {
  public:
   explicit store_probe(std::uint64_t seed) : random_(seed) {}
 
-  /** Begins to probe now, unless that has begun already. */
-  void Start(time_point now);
+  /** Begins to probe at a random time within `spread`, unless that has begun
+   *  already.
+   *  @param spread Also the longest pause if it exceeds the usual one. */
+  void Start(time_point now, duration spread = {});
 
   void Stop();
 
@@ -38,6 +41,7 @@
 
  private:
   random_source random_;
+  duration spread_{};
   time_point due_ = kNever;     ///< kNever while stopped.
   bool open_ = false;           ///< A probe is in progress.
   std::uint32_t failures_ = 0;  ///< Consecutive failures.
--- a/packages/gateway/store_reader.h
+++ b/packages/gateway/store_reader.h
@@ -40,12 +40,23 @@
   std::string zone;               ///< Its availability zone.
   std::uint64_t seed = 0;         ///< Of the random backoff.
   store_follower_settings reads;  ///< Timing of reads.
+  /** Items that were not confirmed for longer are stale: this host then asks
+   * the store itself, whatever its source says. */
+  duration max_age = std::chrono::milliseconds(1650);
 };
 
+/**
+ * Returns the age from which items are stale: the rest of the smaller limit is
+ * for the way to a source that has the change.
+ * @param propagation Time within which a change must be known.
+ * @param leaf_drain Time for which a leaving leaf serves.
+ */
+duration MaxItemAge(duration propagation, duration leaf_drain);
+
 /**
  * Follows the items of the store, directly or through a peer. The caller
  * carries out the reads. One read is open at a time, and beside it one probe of
- * the store while a peer takes the place of the store.
+ * the store while a peer takes the place of the store or the items are stale.
  */
 class store_reader {
  public:
@@ -64,11 +75,21 @@
   /** True while probes are needed; an open one may be canceled otherwise. */
   bool Probing() const { return probe_.Active(); }
 
-  /** When the next probe is due; kNever while one is open or none is needed. */
-  time_point NextProbeWake() const { return probe_.NextWake(); }
+  /** When NextProbe() is to be called; kNever while a probe is open. */
+  time_point NextProbeWake() const;
 
-  /** The store answered the open probe, so it is the source from now on. */
-  void OnProbeAnswered();
+  /** The store answered the open probe, so this host can read it. The open read
+   *  is then to be canceled, since its source did not deliver. */
+  store_update OnProbeAnswered(store_reply reply, time_point now);
+
+  /** The store answered the open probe that it lacks the history, so this host
+   *  must list it. The open read is to be canceled unless ListsStore(). */
+  void OnProbeCompacted(time_point now);
+
+  /** True while the open read, if any, is a listing of the store. */
+  bool ListsStore() const {
+    return read_.kind == store_read_kind::list && sources_.ReadsStore();
+  }
 
   void OnProbeFailed(time_point now);
 
@@ -87,6 +108,13 @@
   /** Peers know a change that the present source has not delivered in time. */
   void OnOverdue(std::uint64_t missing, time_point now);
 
+  void SetMaxAge(duration max_age) { max_age_ = max_age; }
+
+  /** True when the items were not confirmed in time. */
+  bool Stale(time_point now) const {
+    return follower_.Listed() && Age(now) > max_age_;
+  }
+
   /** Makes the next read due now. */
   void ReadNow(time_point now) { follower_.ReadNow(now); }
 
@@ -109,14 +137,21 @@
 
  private:
   store_update UpdateOf(std::vector<store_item> changes) const;
+  duration WaitFor(const store_read& read, time_point now) const;
+  bool NeedsProbe(time_point now) const;
+  void ScheduleProbes(std::size_t hosts, time_point now);
+  void NoteNewest(const std::vector<store_item>& changes);
   void Confirm(const store_reply& reply, const reply_freshness& freshness,
                time_point now);
 
   std::string zone_;
   duration longest_read_;
+  duration max_age_;
   store_follower follower_;
   source_choice sources_;
   store_probe probe_;
+  duration probe_spread_{};     ///< Keeps probes of a large fleet apart.
+  time_point probe_began_{};    ///< When the last probe began.
   store_read read_;             ///< The last read.
   time_point read_began_{};     ///< When it began.
   time_point listing_began_{};  ///< When the first page of a listing was read.
--- a/packages/gateway/tests/fleet_test.cpp
+++ b/packages/gateway/tests/fleet_test.cpp
@@ -300,6 +300,16 @@
   CHECK(lag.Overdue(10, 12, now + milliseconds(2000)));
 }
 
+// Guards against a host that waits for a source which lost the store, although a
+// peer has the change.
+TEST_CASE("Lag_ItemsAreStale_IsOverdueAtOnce") {
+  lag_detector lag;
+  const time_point now(seconds(5));
+  CHECK(lag.Overdue(10, 12, now, true));
+  CHECK_FALSE(lag.Overdue(10, 12, now + milliseconds(300), true));
+  CHECK(lag.Overdue(10, 12, now + milliseconds(400), true));
+}
+
 // Guards against a starting host that waits for a silent source although a peer
 // has the items.
 TEST_CASE("Lag_NothingKnown_IsOverdueSooner") {
--- a/packages/gateway/tests/propagation_test.cpp
+++ b/packages/gateway/tests/propagation_test.cpp
@@ -197,4 +197,89 @@
   }
 }
 
+// Guards against hosts that take the items of others for current, though those
+// are cut off from the store and nobody else reads it.
+TEST_CASE_METHOD(propagation_fixture,
+                 "Propagation_ReadersCutOff_OthersAreInForceInTime") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    random_source random(seed);
+    auto fleet = OneZone(seed);
+    fleet.Run(UpTo(random, 3000));
+    std::vector<bool> cut(fleet.Hosts());
+    for (const std::size_t reader : fleet.Readers()) cut[reader] = true;
+    for (std::size_t i = random.Below(fleet.Hosts() - 2); i > 0; --i) {
+      cut[random.Below(fleet.Hosts())] = true;
+    }
+    for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+      if (cut[host]) fleet.SetMode(host, store_mode::silent);
+    }
+    fleet.Run(UpTo(random, 3000));
+    fleet.Change();
+    fleet.Run(kPropagationLimit);
+    for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+      INFO("seed " << seed << " host " << host);
+      CHECK((cut[host] || fleet.HasNewest(host)));
+    }
+  }
+}
+
+// The same for a reader that is frozen while the other one is cut off.
+TEST_CASE_METHOD(propagation_fixture,
+                 "Propagation_ReadersFrozenAndCutOff_OthersAreInForceInTime") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    random_source random(seed);
+    auto fleet = OneZone(seed);
+    const auto readers = fleet.Readers();
+    REQUIRE(readers.size() == 2);
+    fleet.Run(UpTo(random, 3000));
+    fleet.Freeze(readers[0], seconds(8));
+    fleet.SetMode(readers[1], store_mode::silent);
+    fleet.Run(UpTo(random, 2000));
+    fleet.Change();
+    fleet.Run(kPropagationLimit);
+    for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+      const bool excused = host == readers[0] || host == readers[1];
+      INFO("seed " << seed << " host " << host);
+      CHECK((excused || fleet.HasNewest(host)));
+    }
+  }
+}
+
+// Guards against hosts that interrupt their own listing, because a read beside
+// it says again that the store has dropped its history.
+TEST_CASE_METHOD(propagation_fixture,
+                 "Propagation_HistoryLostInAnOutage_IsListedOnce") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    random_source random(seed);
+    auto fleet = Fleet(seed);
+    fleet.SetMode(store_mode::silent);
+    fleet.Run(UpTo(random, 6000));
+    fleet.Change();
+    fleet.Compact();
+    fleet.SetListingTime(milliseconds(1200));
+    fleet.SetMode(store_mode::good);
+    const time_point returned = fleet.Now();
+    const std::uint64_t before = fleet.StoreCalls();
+    const time_point ack = fleet.Change();
+    RunUntilDue(fleet, ack, returned);
+    INFO("seed " << seed);
+    CHECK(fleet.Outdated() == 0);
+    CHECK(fleet.StoreCalls() - before <= 20 * fleet.Hosts());
+  }
+}
+
+// Guards against calls to the store that grow with the fleet while it is calm,
+// and against a flood of them while the store is away.
+TEST_CASE("Propagation_LargeFleet_CallsToTheStoreAreFew") {
+  store_simulation fleet(120, 1);
+  fleet.Run(seconds(10));
+  std::uint64_t before = fleet.StoreCalls();
+  fleet.Run(seconds(20));
+  CHECK(fleet.StoreCalls() - before <= 6 * 20);
+  fleet.SetMode(store_mode::silent);
+  before = fleet.StoreCalls();
+  fleet.Run(seconds(10));
+  CHECK(fleet.StoreCalls() - before <= 300);
+}
+
 }  // namespace corianderrail::gateway
--- a/packages/gateway/tests/store_probe_test.cpp
+++ b/packages/gateway/tests/store_probe_test.cpp
@@ -68,4 +68,22 @@
   CHECK(probe_.NextWake() == kNever);
 }
 
+// Guards against a large fleet whose hosts all probe at the same moment.
+TEST_CASE("Probe_LargeFleet_IsSpreadOverTime") {
+  const time_point now(seconds(10));
+  const duration spread = seconds(20);
+  int prompt = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    store_probe probe(seed);
+    probe.Start(now, spread);
+    CHECK(probe.NextWake() >= now);
+    CHECK(probe.NextWake() <= now + spread);
+    if (probe.NextWake() < now + seconds(1)) ++prompt;
+    REQUIRE(probe.Next(now + spread));
+    probe.OnFailure(now + spread);
+    CHECK(probe.NextWake() >= now + spread + spread / 2);
+  }
+  CHECK(prompt <= 30);
+}
+
 }  // namespace corianderrail::gateway
--- a/packages/gateway/tests/store_simulation.cpp
+++ b/packages/gateway/tests/store_simulation.cpp
@@ -161,7 +161,10 @@
   for (const member_record& member : members_) {
     known = std::max(known, Raw(member.revision));
   }
-  if (!one.lag.Overdue(one.reader.CompleteRevision(), known, now_)) return;
+  const bool stale = one.reader.Stale(now_);
+  if (!one.lag.Overdue(one.reader.CompleteRevision(), known, now_, stale)) {
+    return;
+  }
   one.reader.OnOverdue(known, now_);
   if (one.read) Fail(one, store_failure::unreachable);
   one.reader.ReadNow(now_);
@@ -189,7 +192,7 @@
     const auto due = one.reader.NextProbe(now_);
     if (!due) return;
     ++store_calls_;
-    one.probe = open_read{{std::nullopt, *due}, now_, false};
+    one.probe = open_read{{std::nullopt, *due}, now_, false, {}};
   }
   if (one.mode == store_mode::silent) one.probe->lost = true;
   const bool answers = now_ >= one.probe->began + kAnswerTime;
@@ -201,8 +204,15 @@
     one.probe.reset();
     one.reader.OnProbeFailed(now_);
   } else if (answers && !one.probe->lost) {
+    auto reply = StoreAnswer(*one.probe);
+    const bool lacks_history = LacksHistory(one.probe->what.read);
     one.probe.reset();
-    one.reader.OnProbeAnswered();
+    if (lacks_history) {
+      one.reader.OnProbeCompacted(now_);
+      if (one.reader.ListsStore()) return;
+    } else {
+      Apply(one, one.reader.OnProbeAnswered(std::move(*reply), now_));
+    }
     if (one.read) {
       one.read.reset();
       one.reader.OnCanceled(now_);
@@ -216,7 +226,9 @@
   if (!due) return;
   if (!due->peer) ++store_calls_;
   one.connections[due->peer.value_or("")].open = true;
-  one.read = open_read{std::move(*due), now_, false};
+  const time_point confirmed =
+      due->peer ? Peer(*due->peer).confirmed : time_point{};
+  one.read = open_read{std::move(*due), now_, false, confirmed};
 }
 
 /** True when the open read ends without an answer. */
@@ -255,6 +267,10 @@
   return reply;
 }
 
+bool store_simulation::LacksHistory(const store_read& read) const {
+  return read.kind == store_read_kind::watch && read.revision < compacted_;
+}
+
 bool store_simulation::AnswerFromStore(host& one) {
   const open_read read = *one.read;
   if (read.lost || one.connections[""].stalled != kNever) return false;
@@ -266,6 +282,18 @@
     }
     return true;
   }
+  if (LacksHistory(read.what.read)) {
+    one.read.reset();
+    if (const auto update =
+            one.reader.OnFailure(store_failure::compacted, now_)) {
+      Apply(one, *update);
+    }
+    return true;
+  }
+  if (read.what.read.kind == store_read_kind::list &&
+      now_ < read.began + listing_time_) {
+    return false;
+  }
   auto reply = StoreAnswer(read);
   if (!reply) return false;
   if (one.mode == store_mode::loses) {
@@ -277,15 +305,21 @@
   return true;
 }
 
+const store_simulation::host& store_simulation::Peer(
+    const std::string& address) const {
+  return *std::find_if(hosts_.begin(), hosts_.end(), [&](const host& other) {
+    return other.address == address;
+  });
+}
+
 bool store_simulation::AnswerFromPeer(host& one) {
   const open_read read = *one.read;
   if (one.connections[*read.what.peer].stalled != kNever) return false;
-  const auto peer = std::find_if(
-      hosts_.begin(), hosts_.end(),
-      [&](const host& other) { return other.address == *read.what.peer; });
+  const host* peer = &Peer(*read.what.peer);
   if (Frozen(*peer)) return false;
   const store_read& what = read.what.read;
-  const bool expired = now_ >= read.began + what.wait;
+  const bool expired =
+      now_ >= read.began + what.wait || peer->confirmed > read.confirmed;
   if (peer->cache.Revision() == 0) {
     if (expired) Fail(one, store_failure::refused);
     return expired;
--- a/packages/gateway/tests/store_simulation.h
+++ b/packages/gateway/tests/store_simulation.h
@@ -58,6 +58,12 @@
   std::size_t Hosts() const { return hosts_.size(); }
   bool HasNewest(std::size_t host) const;
 
+  /** How long the store takes to send a listing. */
+  void SetListingTime(duration length) { listing_time_ = length; }
+
+  /** The store drops its history. */
+  void Compact() { compacted_ = revision_; }
+
   /** All open connections stop to transfer anything. */
   void StallConnections();
 
@@ -90,7 +96,8 @@
   struct open_read {
     sourced_read what;
     time_point began{};
-    bool lost = false;  ///< The store was silent meanwhile.
+    bool lost = false;       ///< The store was silent meanwhile.
+    time_point confirmed{};  ///< Of the items of the peer when it began.
   };
 
   struct host {
@@ -115,12 +122,14 @@
 
   bool Frozen(const host& one) const { return now_ < one.frozen_until; }
   host MakeHost(std::size_t number);
+  const host& Peer(const std::string& address) const;
   void Step();
   void StepHost(host& one);
   void StepProbe(host& one);
   void Begin(host& one);
   bool Fails(host& one);
   std::optional<store_reply> StoreAnswer(const open_read& read) const;
+  bool LacksHistory(const store_read& read) const;
   bool AnswerFromStore(host& one);
   bool AnswerFromPeer(host& one);
   void Apply(host& one, const store_update& update);
@@ -135,6 +144,8 @@
   std::deque<std::vector<std::uint64_t>> reported_;  ///< Oldest first.
   time_point now_{std::chrono::seconds(1)};
   std::uint64_t revision_ = 1;
+  std::uint64_t compacted_ = 0;  ///< Watches from before it fail.
+  duration listing_time_ = std::chrono::milliseconds(20);
   std::uint64_t config_revision_ = 1;
   std::uint64_t drain_revision_ = 0;  ///< 0 while the leaf does not drain.
   time_point drain_ack_{};
