Pass on an answer without a length only if its connection ended in order

Cause: the system reports a reset once, to the write in this case; the next read returned end of file and so ended the answer. edge/stream_end now judges all signs of the end: read, write, pending error and the state of the connection. A broken pipe follows an orderly end, so that answer stays whole. The answers of the store and of hosts use it too.

--- a/packages/edge/http_getter.cpp
+++ b/packages/edge/http_getter.cpp
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "edge/http_server.h"
+#include "edge/stream_end.h"
 
 namespace corianderrail::edge {
 
@@ -182,7 +183,10 @@
 }
 
 void http_getter::state::OnMessage(error_code error) {
-  if (error) {
+  // A write that fails ends the read, so none has failed here.
+  const bool cut =
+      !error && parser->need_eof() && !EndedInOrder(SignsOf(socket, error, {}));
+  if (error || cut) {
     Finish(std::nullopt);
     return;
   }
--- a/packages/edge/leaf_pool_connection.cpp
+++ b/packages/edge/leaf_pool_connection.cpp
@@ -9,6 +9,7 @@
 
 #include "edge/http_server.h"
 #include "edge/leaf_pool_state.h"
+#include "edge/stream_end.h"
 #include "platform/message_codec.h"
 
 namespace corianderrail::edge {
@@ -93,11 +94,13 @@
   interim_answers_ = 0;
   owner_->busy[static_cast<std::uint64_t>(current_->call)] = weak_from_this();
   writing_ = true;
+  write_error_.clear();
   asio::async_write(socket_, asio::buffer(write_buffer_),
-                    [self = shared_from_this()](error_code, std::size_t) {
-                      // The error is ignored: an answer may still arrive, so
-                      // the read decides the outcome.
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      // An answer may still arrive, so the read decides the
+                      // outcome.
                       self->writing_ = false;
+                      self->write_error_ = error;
                     });
   StartRead();
 }
@@ -171,6 +174,11 @@
 void leaf_pool::state::connection::OnAnswer(error_code error) {
   if (closed_ || !current_) return;
   Reserve(0);
+  // Only the end of the connection says that such an answer is complete.
+  const bool ends_here = !error && parser_->need_eof();
+  if (ends_here && !EndedInOrder(SignsOf(socket_, error, write_error_))) {
+    error = asio::error::connection_reset;
+  }
   if (error) {
     const bool protocol_error =
         error.category() ==
--- a/packages/edge/leaf_pool_state.h
+++ b/packages/edge/leaf_pool_state.h
@@ -121,6 +121,7 @@
   std::size_t reserved_ = 0;           ///< Of kMaxIncompleteBytes.
   std::uint32_t interim_answers_ = 0;  ///< Since the request was sent.
   bool writing_ = false;
+  boost::system::error_code write_error_;  ///< Of the present request.
   bool closed_ = false;
   bool has_answered_ = false;  ///< At least one answer was complete.
   bool watching_ = false;      ///< A wait for input while idle is open.
