Keep what is known of a leaf when its entry lapses

Two relatives: a service's repeat budget is kept for its window when it leaves the configuration, and an answer of the store that was overtaken brings no removed key back.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -226,7 +226,7 @@
   for (const upstream_service& one : input.config->services) {
     Service(one.name)->max_connections = one.max_connections;
   }
-  Prune();
+  Prune(now);
   for (const std::string& service : routed_services_) {
     if (!before.contains(service)) WarmUp(service);
   }
@@ -375,15 +375,16 @@
                   {"open", std::to_string(leaf.monitor.Open())}}});
 }
 
-/** Drops state of routes and services that are no longer configured. */
-void gateway::Prune() {
+/** Drops state of routes and services that are no longer configured. A budget
+ *  is kept for its window, since the service may be configured again. */
+void gateway::Prune(time_point now) {
   std::set<std::string_view> routes;
   for (const route& one : routes_->Config().routes) routes.insert(one.name);
   std::erase_if(
       stats_, [&](const auto& entry) { return !routes.contains(entry.first); });
   std::erase_if(services_, [&](const auto& entry) {
     return !SendsTo(entry.first) && directory_.LeafsOf(entry.first).empty() &&
-           entry.second.use_count() == 1;
+           entry.second.use_count() == 1 && entry.second->budget.Idle(now);
   });
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -107,7 +107,7 @@
   void LogSuspicion(const leaf_state& leaf, std::string_view reason);
   const std::shared_ptr<service_state>& Service(const std::string& name);
   void UpdateBudgets();
-  void Prune();
+  void Prune(time_point now);
   bool SendsTo(const std::string& service) const;
   void Connect(leaf_state& leaf);
   void WarmUp(const std::string& service);
--- a/packages/gateway/leaf_directory.cpp
+++ b/packages/gateway/leaf_directory.cpp
@@ -9,14 +9,6 @@
 
 namespace {
 
-/** True for a restarted process or another leaf under the same key. */
-bool IsOtherProcess(const leaf_record& a, const leaf_record& b) {
-  const bool restarted = a.born_unix_ms != 0 && b.born_unix_ms != 0 &&
-                         a.born_unix_ms != b.born_unix_ms;
-  return restarted || a.address != b.address || a.service != b.service ||
-         a.instance != b.instance;
-}
-
 /** Share of the drain time in which a leaving leaf gets requests. The rest is
  *  for the way to the leaf and for its work. */
 constexpr int kSendNumerator = 85;
@@ -50,9 +42,7 @@
   }
   if (leaf != nullptr && IsOtherProcess(leaf->record, *change.record)) {
     ended.push_back(leaf->handle);
-    Detach(*leaf);
-    by_key_.erase(change.key);
-    leafs_.erase(ended.back());
+    Drop(leaf->handle, now);
     leaf = nullptr;
   }
   if (leaf == nullptr) {
@@ -70,11 +60,13 @@
 
 leaf_state& leaf_directory::Add(const std::string& key,
                                 const leaf_record& record, time_point now) {
-  auto fresh = std::make_unique<leaf_state>();
+  auto fresh = memory_.Take(key, record);
+  if (!fresh) fresh = std::make_unique<leaf_state>();
   leaf_state& leaf = *fresh;
   leaf.handle = leaf_handle{next_handle_++};
   leaf.key = key;
   leaf.record = record;
+  leaf.replaced = false;
   // Whoever is first seen draining may have done so for long.
   SetListing(leaf, record.draining ? listing::draining : listing::listed,
              time_point{});
@@ -95,11 +87,18 @@
   }
 }
 
-void leaf_directory::Detach(const leaf_state& leaf) {
-  const auto service = by_service_.find(leaf.record.service);
-  if (service == by_service_.end()) return;
-  std::erase(service->second, &leaf);
-  if (service->second.empty()) by_service_.erase(service);
+/** Drops a registration and keeps what is known of its leaf. */
+void leaf_directory::Drop(leaf_handle handle, time_point now) {
+  const auto found = leafs_.find(handle);
+  std::unique_ptr<leaf_state> leaf = std::move(found->second);
+  leafs_.erase(found);
+  by_key_.erase(leaf->key);
+  const auto service = by_service_.find(leaf->record.service);
+  if (service != by_service_.end()) {
+    std::erase(service->second, leaf.get());
+    if (service->second.empty()) by_service_.erase(service);
+  }
+  memory_.Keep(std::move(leaf), now);
 }
 
 std::span<leaf_state* const> leaf_directory::LeafsOf(
@@ -146,12 +145,8 @@
     if (now < SendBefore(*leaf)) continue;
     if (leaf->monitor.Open() == 0) ended.push_back(handle);
   }
-  for (const leaf_handle handle : ended) {
-    const auto found = leafs_.find(handle);
-    Detach(*found->second);
-    by_key_.erase(found->second->key);
-    leafs_.erase(found);
-  }
+  for (const leaf_handle handle : ended) Drop(handle, now);
+  memory_.Expire(now);
   return ended;
 }
 
--- a/packages/gateway/leaf_directory.h
+++ b/packages/gateway/leaf_directory.h
@@ -12,33 +12,13 @@
 
 #include "core/time_type.h"
 #include "gateway/leaf_choice.h"
-#include "gateway/leaf_departure.h"
-#include "gateway/leaf_monitor.h"
+#include "gateway/leaf_memory.h"
+#include "gateway/leaf_state.h"
 #include "gateway/message_type.h"
 #include "gateway/registry_type.h"
 
 namespace corianderrail::gateway {
 
-/** State of a leaf in the registry. */
-enum class listing : std::uint8_t {
-  listed,    ///< Accepts requests.
-  draining,  ///< Announced that it will stop.
-  removed,   ///< No longer listed.
-};
-
-/** One registration of a leaf, with its health. */
-struct leaf_state {
-  leaf_handle handle{};  ///< Never reused.
-  std::string key;       ///< Key in the registry.
-  leaf_record record;    ///< Latest registry entry.
-  listing listed = listing::listed;
-  leaf_departure departure;  ///< Since when it leaves.
-  time_point cold_until{};   ///< End of its slow start.
-  bool replaced = false;     ///< Another leaf answers at its address.
-  bool connecting = false;   ///< A connect_leaf_effect is pending.
-  leaf_monitor monitor;      ///< Health by this host's requests.
-};
-
 /** Timing of leafs that drain or are removed. */
 struct leaf_directory_settings {
   duration drain_time = std::chrono::seconds(3);  ///< A leaving leaf serves on.
@@ -74,11 +54,13 @@
   leaf_eligibility Eligibility(const leaf_state& leaf, time_point now,
                                duration work = {}) const;
 
-  /** Drops removed leafs that get no requests and have none open.
+  /** Drops removed leafs that get no requests and have none open. What is known
+   *  of them is kept in case that their entries return.
    *  @return Their handles. */
   std::vector<leaf_handle> RemoveExpired(time_point now);
 
   std::size_t Size() const { return leafs_.size(); }
+  std::size_t Remembered() const { return memory_.Size(); }
 
   /** Calls `visit` with each leaf. */
   template <typename Visitor>
@@ -90,10 +72,11 @@
   leaf_state& Add(const std::string& key, const leaf_record& record,
                   time_point now);
   static void SetListing(leaf_state& leaf, listing listed, time_point since);
-  void Detach(const leaf_state& leaf);
+  void Drop(leaf_handle handle, time_point now);
 
   leaf_directory_settings settings_;
   std::uint32_t next_handle_ = 1;
+  leaf_memory memory_;
   std::map<leaf_handle, std::unique_ptr<leaf_state>> leafs_;
   std::unordered_map<std::string, leaf_state*> by_key_;
   std::map<std::string, std::vector<leaf_state*>, std::less<>> by_service_;
--- a/packages/gateway/leaf_monitor.h
+++ b/packages/gateway/leaf_monitor.h
@@ -33,6 +33,9 @@
   /** Removes an open call without a statistical effect. */
   void DropCall(leaf_call call);
 
+  /** The same for all open calls. */
+  void DropAllCalls() { open_.clear(); }
+
   /** A usable answer was received. */
   void OnAnswer(leaf_call call, time_point now);
 
--- /dev/null
+++ b/packages/gateway/leaf_state.h
@@ -0,0 +1,37 @@
+/** @file leaf_state.h What a host knows of one registration of a leaf. */
+
+#pragma once
+
+#include <string>
+
+#include "gateway/leaf_departure.h"
+#include "gateway/leaf_monitor.h"
+#include "gateway/message_type.h"
+#include "gateway/registry_type.h"
+
+namespace corianderrail::gateway {
+
+/** State of a leaf in the registry. */
+enum class listing : std::uint8_t {
+  listed,    ///< Accepts requests.
+  draining,  ///< Announced that it will stop.
+  removed,   ///< No longer listed.
+};
+
+/** One registration of a leaf, with its health. */
+struct leaf_state {
+  leaf_handle handle{};  ///< Never reused.
+  std::string key;       ///< Key in the registry.
+  leaf_record record;    ///< Latest registry entry.
+  listing listed = listing::listed;
+  leaf_departure departure;  ///< Since when it leaves.
+  time_point cold_until{};   ///< End of its slow start.
+  bool replaced = false;     ///< Another leaf answers at its address.
+  bool connecting = false;   ///< A connect_leaf_effect is pending.
+  leaf_monitor monitor;      ///< Health by this host's requests.
+};
+
+/** True for records of different processes: a restart, or another leaf. */
+bool IsOtherProcess(const leaf_record& a, const leaf_record& b);
+
+}  // namespace corianderrail::gateway
--- a/packages/gateway/repeat_budget.cpp
+++ b/packages/gateway/repeat_budget.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/repeat_budget.h"
 
+#include <algorithm>
+
 namespace corianderrail::gateway {
 
 namespace {
@@ -34,6 +36,13 @@
 
 void repeat_budget::OnFirst(time_point now) { ++Current(now).first; }
 
+bool repeat_budget::Idle(time_point now) const {
+  const std::int64_t oldest = Period(now) - std::int64_t{kBuckets};
+  return std::all_of(buckets_.begin(), buckets_.end(), [&](const bucket& one) {
+    return one.period < oldest || (one.first == 0 && one.repeats == 0);
+  });
+}
+
 bool repeat_budget::TrySpend(repeat_reason reason, time_point now) {
   bucket& current = Current(now);
   double first = 0;
--- a/packages/gateway/repeat_budget.h
+++ b/packages/gateway/repeat_budget.h
@@ -38,6 +38,9 @@
   /** Counts one repeat if the window allows it. @return Whether it does. */
   bool TrySpend(repeat_reason reason, time_point now);
 
+  /** True when the window holds no request. */
+  bool Idle(time_point now) const;
+
   void SetLimits(double ratio, double slack) {
     settings_.ratio = ratio;
     settings_.slack = slack;
--- a/packages/gateway/store_follower.cpp
+++ b/packages/gateway/store_follower.cpp
@@ -138,7 +138,9 @@
               return a.revision < b.revision;
             });
   for (store_item& item : reply.items) {
-    Accept(std::move(item), changes);
+    // A key that was removed since is unknown, and an answer that was overtaken
+    // must not bring it back.
+    if (item.revision > revision_) Accept(std::move(item), changes);
   }
   revision_ = std::max(revision_, reply.revision);
   return changes;
--- a/packages/gateway/tests/fleet_test.cpp
+++ b/packages/gateway/tests/fleet_test.cpp
@@ -300,8 +300,8 @@
   CHECK(lag.Overdue(10, 12, now + milliseconds(2000)));
 }
 
-// Guards against a host that waits for a source which lost the store, although a
-// peer has the change.
+// Guards against a host that waits for a source which lost the store, although
+// a peer has the change.
 TEST_CASE("Lag_ItemsAreStale_IsOverdueAtOnce") {
   lag_detector lag;
   const time_point now(seconds(5));
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -285,4 +285,17 @@
   CHECK(follower_.NextWake() <= now_ + milliseconds(500));
 }
 
+// Guards against a removed key that returns with an answer which was overtaken
+// by a newer one.
+TEST_CASE_METHOD(follower_fixture, "Follower_OtherReplyIsOvertaken_IsIgnored") {
+  List();
+  NextRead();
+  Reply({Item("p/c", 11), {"p/a", 12, true, ""}}, 12);
+  CHECK(follower_.OnOtherReply({{Item("p/a", 11)}, 11, false}).empty());
+  CHECK(follower_.Revision() == 12);
+  const auto fresh = follower_.OnOtherReply({{Item("p/a", 13)}, 13, false});
+  REQUIRE(fresh.size() == 1);
+  CHECK(follower_.Revision() == 13);
+}
+
 }  // namespace corianderrail::gateway
