--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -96,9 +96,6 @@
      [](const snapshot& s) { return s.peers.bytes_received; }},
     {"relay_calls_total", "counter", "Reads of store items from other hosts.",
      [](const snapshot& s) { return s.relay_calls; }},
-    {"store_failures_total", "counter",
-     "Failed reads of store items, from either source.",
-     [](const snapshot& s) { return s.store_failures; }},
     {"store_revision", "gauge",
      "Store revision up to which this host has read all changes.",
      [](const snapshot& s) { return s.store_revision; }},
@@ -188,6 +185,18 @@
   }
 }
 
+void AppendStoreFailures(std::string& text,
+                         const gateway::store_failure_counts& failures) {
+  constexpr std::string_view kName = "store_failures_total";
+  AppendMetricHeader(text, kName, "counter",
+                     "Failed reads of store items, from either source, by "
+                     "cause.");
+  for (std::size_t i = 0; i < gateway::kStoreFailures; ++i) {
+    const auto cause = static_cast<gateway::store_failure>(i);
+    AppendCause(text, kName, StoreFailureName(cause), "", failures[i]);
+  }
+}
+
 void AppendAnswerLatencies(std::string& text,
                            const gateway::answer_stats& answers) {
   constexpr std::string_view kName = "answer_seconds";
@@ -224,6 +233,7 @@
   }
   AppendSends(text, from.core.sends);
   AppendStoreCalls(text, from.store_calls);
+  AppendStoreFailures(text, from.store_failures);
   AppendAnswerLatencies(text, from.answers);
   return text;
 }
--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -27,9 +27,9 @@
   leaf_pool_counters leafs;          ///< Connections to leafs.
   peer_link_counters peers;          ///< Datagrams between hosts.
   std::uint64_t members = 0;         ///< Hosts known.
-  gateway::store_read_counts store_calls{};  ///< Reads from the store.
-  std::uint64_t relay_calls = 0;             ///< Reads from other hosts.
-  std::uint64_t store_failures = 0;          ///< Failed reads of both kinds.
+  gateway::store_read_counts store_calls{};        ///< Reads from the store.
+  std::uint64_t relay_calls = 0;                   ///< Reads from other hosts.
+  gateway::store_failure_counts store_failures{};  ///< From either source.
   std::uint64_t store_revision = 0;  ///< All changes up to it were read.
   duration items_age{};  ///< Since the store last confirmed the items.
   std::uint64_t log_lines_dropped = 0;  ///< Log lines that were not written.
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -50,10 +50,6 @@
 /** Shortest interval between two applications of changed members. */
 constexpr std::chrono::milliseconds kMembersPeriod{50};
 
-/** Names in log lines, by store_failure. */
-constexpr std::array<std::string_view, 4> kStoreFailureNames = {
-    "unreachable", "refused", "compacted", "unreadable"};
-
 std::uint64_t RandomSeed() {
   std::random_device source;
   return (std::uint64_t{source()} << 32) ^ source();
@@ -196,6 +192,12 @@
     OnStoreUpdate(update);
   };
   link.on_source = [this](const source_change& change) { OnSource(change); };
+  link.on_relist = [this](gateway::store_failure cause) {
+    const decision_input inputs[] = {
+        {"cause", std::string(StoreFailureName(cause))},
+        {"revision", std::to_string(store.Reader().CompleteRevision())}};
+    log.WriteEvent("items_listed_anew", inputs);
+  };
   return link;
 }
 
@@ -204,8 +206,8 @@
       {"source", std::string(change.source)},
       {"read_us", std::to_string(change.read_time.count())}};
   if (change.failure) {
-    const auto index = static_cast<std::size_t>(*change.failure);
-    inputs.push_back({"failure", std::string(kStoreFailureNames[index])});
+    inputs.push_back(
+        {"failure", std::string(StoreFailureName(*change.failure))});
   }
   log.WriteEvent(change.failure ? "source_lost" : "source_in_use", inputs);
   if (!core.CanServe()) {
--- a/packages/edge/http_getter.cpp
+++ b/packages/edge/http_getter.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <optional>
 #include <utility>
 
 #include "edge/http_server.h"
@@ -84,7 +85,7 @@
   void OnHeader(error_code error);
   void ReadBody();
   void OnMessage(error_code error);
-  void Finish(std::optional<http_result> result);
+  void Finish(get_outcome outcome);
   void CloseConnection();
 
   std::string address;
@@ -108,7 +109,7 @@
   timer.async_wait(
       [self = shared_from_this(), own_id = read_id](error_code error) {
         if (error || own_id != self->read_id || !self->done) return;
-        self->Finish(std::nullopt);
+        self->Finish(get_failure::unreachable);
       });
 }
 
@@ -124,7 +125,7 @@
       [self = shared_from_this(), own_id = read_id](error_code error) {
         if (own_id != self->read_id || !self->done) return;
         if (error) {
-          self->Finish(std::nullopt);
+          self->Finish(get_failure::unreachable);
           return;
         }
         ConfigureSocket(self->socket);
@@ -138,7 +139,7 @@
                     [self = shared_from_this(), own_id = read_id](
                         error_code error, std::size_t) {
                       if (own_id != self->read_id || !self->done) return;
-                      if (error) self->Finish(std::nullopt);
+                      if (error) self->Finish(get_failure::unreachable);
                     });
   parser.emplace();
   parser->body_limit(kMaxAnswerBytes);
@@ -187,7 +188,8 @@
   const bool cut =
       !error && parser->need_eof() && !EndedInOrder(SignsOf(socket, error, {}));
   if (error || cut) {
-    Finish(std::nullopt);
+    const bool too_large = error == http::error::body_limit;
+    Finish(too_large ? get_failure::too_large : get_failure::unreachable);
     return;
   }
   auto message = parser->release();
@@ -206,13 +208,13 @@
   buffer.clear();
 }
 
-void http_getter::state::Finish(std::optional<http_result> result) {
+void http_getter::state::Finish(get_outcome outcome) {
   ++read_id;
   receiving = false;
   timer.cancel();
-  if (!result) CloseConnection();
+  if (std::holds_alternative<get_failure>(outcome)) CloseConnection();
   const callback finished = std::exchange(done, nullptr);
-  finished(std::move(result));
+  finished(std::move(outcome));
 }
 
 http_getter::http_getter(asio::io_context& io, std::string address)
@@ -236,7 +238,7 @@
 bool http_getter::Receiving() const { return state_->receiving; }
 
 void http_getter::Cancel() {
-  if (state_->done) state_->Finish(std::nullopt);
+  if (state_->done) state_->Finish(get_failure::unreachable);
 }
 
 }  // namespace corianderrail::edge
--- a/packages/edge/http_getter.h
+++ b/packages/edge/http_getter.h
@@ -3,10 +3,11 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
+#include <variant>
 
 #include "core/time_type.h"
 
@@ -18,6 +19,14 @@
   std::string body;  ///< May be empty.
 };
 
+/** Why a read gave no answer. */
+enum class get_failure : std::uint8_t {
+  unreachable,  ///< No complete answer in time, or not in the protocol.
+  too_large,    ///< The answer exceeds the bound on its size.
+};
+
+using get_outcome = std::variant<http_result, get_failure>;
+
 /**
  * Makes one read at a time and keeps the connection open between reads. The
  * connection is closed when a read fails or exceeds its timeout, so that a late
@@ -25,8 +34,7 @@
  */
 class http_getter {
  public:
-  /** Called with the answer, or with std::nullopt when the read failed. */
-  using callback = std::function<void(std::optional<http_result>)>;
+  using callback = std::function<void(get_outcome)>;
 
   http_getter(boost::asio::io_context& io, std::string address);
   ~http_getter();
@@ -41,7 +49,7 @@
    */
   void Get(const std::string& target, duration timeout, callback done);
 
-  /** Fails the open read, if any; calls its callback with std::nullopt. */
+  /** Fails the open read, if any, as unreachable. */
   void Cancel();
 
   /** True while an answer has begun and is not complete. */
--- a/packages/edge/store_link.cpp
+++ b/packages/edge/store_link.cpp
@@ -17,6 +17,20 @@
 
 constexpr std::string_view kStoreSource = "store";
 
+store_failure FailureOf(get_failure failure) {
+  return failure == get_failure::too_large ? store_failure::too_large
+                                           : store_failure::unreachable;
+}
+
+std::variant<gateway::store_reply, store_failure> DecodeStoreOutcome(
+    gateway::store_read_kind kind, const get_outcome& outcome) {
+  if (const auto* failure = std::get_if<get_failure>(&outcome)) {
+    return FailureOf(*failure);
+  }
+  const auto& result = std::get<http_result>(outcome);
+  return platform::DecodeStoreReply(kind, result.status, result.body);
+}
+
 }  // namespace
 
 store_link::store_link(boost::asio::io_context& io,
@@ -81,8 +95,8 @@
   if (due) {
     ++store_calls_[static_cast<std::size_t>(due->cause)];
     probe_.Get(platform::EncodeStoreRead(*due), due->timeout,
-               [this, kind = due->kind](std::optional<http_result> result) {
-                 OnProbe(kind, std::move(result));
+               [this, kind = due->kind](const get_outcome& outcome) {
+                 OnProbe(kind, outcome);
                });
     return;
   }
@@ -94,15 +108,11 @@
 }
 
 void store_link::OnProbe(gateway::store_read_kind kind,
-                         std::optional<http_result> result) {
-  std::variant<gateway::store_reply, store_failure> reply =
-      store_failure::unreachable;
-  if (result) {
-    reply = platform::DecodeStoreReply(kind, result->status, result->body);
-  }
+                         const get_outcome& outcome) {
+  auto reply = DecodeStoreOutcome(kind, outcome);
   if (auto* items = std::get_if<gateway::store_reply>(&reply)) {
     settings_.on_update(reader_.OnProbeAnswered(std::move(*items), Now()));
-  } else if (std::get<store_failure>(reply) == store_failure::compacted) {
+  } else if (NeedsListing(std::get<store_failure>(reply))) {
     reader_.OnProbeCompacted(Now());
     if (reader_.ListsStore()) return;
   } else {
@@ -118,13 +128,8 @@
 void store_link::ReadStore(const store_read& read) {
   ++store_calls_[static_cast<std::size_t>(read.cause)];
   store_.Get(platform::EncodeStoreRead(read), read.timeout,
-             [this, kind = read.kind](std::optional<http_result> result) {
-               if (!result) {
-                 OnFailure(store_failure::unreachable);
-                 return;
-               }
-               auto reply = platform::DecodeStoreReply(kind, result->status,
-                                                       result->body);
+             [this, kind = read.kind](const get_outcome& outcome) {
+               auto reply = DecodeStoreOutcome(kind, outcome);
                if (const auto* failed = std::get_if<store_failure>(&reply)) {
                  OnFailure(*failed);
                  return;
@@ -141,12 +146,13 @@
   }
   const relay_request request{read.kind, read.revision, read.wait};
   peer_->Get(EncodeRelayRequest(request), read.timeout,
-             [this](std::optional<http_result> result) {
-               if (!result) {
-                 OnFailure(store_failure::unreachable);
+             [this](const get_outcome& outcome) {
+               if (const auto* failed = std::get_if<get_failure>(&outcome)) {
+                 OnFailure(FailureOf(*failed));
                  return;
                }
-               auto reply = DecodeRelayReply(result->status, result->body);
+               const auto& result = std::get<http_result>(outcome);
+               auto reply = DecodeRelayReply(result.status, result.body);
                if (const auto* failed = std::get_if<store_failure>(&reply)) {
                  OnFailure(*failed);
                  return;
@@ -169,8 +175,10 @@
     return;
   }
   const auto update = reader_.OnFailure(failure, Now());
-  if (failure != store_failure::compacted) {
-    ++failures_;
+  ++failures_[static_cast<std::size_t>(failure)];
+  if (NeedsListing(failure)) {
+    settings_.on_relist(failure);
+  } else {
     ReportSource(failure);
   }
   Finish(update);
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -41,6 +41,8 @@
   std::function<void(const gateway::store_update&)>
       on_update;  ///< After each answer.
   std::function<void(const source_change&)> on_source;
+  /** All items are listed anew, since their changes cannot be had. */
+  std::function<void(gateway::store_failure)> on_relist;
 };
 
 /** Carries out the reads of a store_reader. */
@@ -65,14 +67,13 @@
 
   const gateway::store_reader& Reader() const { return reader_; }
   const gateway::store_read_counts& StoreCalls() const { return store_calls_; }
-  std::uint64_t Failures() const { return failures_; }
+  const gateway::store_failure_counts& Failures() const { return failures_; }
   std::uint64_t RelayCalls() const { return relay_calls_; }
 
  private:
   void ReadNext();
   void ProbeNext();
-  void OnProbe(gateway::store_read_kind kind,
-               std::optional<http_result> result);
+  void OnProbe(gateway::store_read_kind kind, const get_outcome& outcome);
   void ReadStore(const gateway::store_read& read);
   void ReadPeer(const std::string& address, const gateway::store_read& read);
   void OnReply(gateway::store_reply reply,
@@ -97,7 +98,7 @@
   bool reported_reachable_ = true;
   bool reconnecting_ = false;  ///< A canceled read is not a failure.
   gateway::store_read_counts store_calls_{};
-  std::uint64_t failures_ = 0;
+  gateway::store_failure_counts failures_{};
   std::uint64_t relay_calls_ = 0;
 };
 
--- a/packages/edge/tests/edge_metrics_test.cpp
+++ b/packages/edge/tests/edge_metrics_test.cpp
@@ -27,6 +27,7 @@
   edge_metrics_snapshot snapshot;
   snapshot.core.sends[1][2] = 7;
   snapshot.store_calls = {3, 1, 2};
+  snapshot.store_failures = {4, 0, 0, 0, 6};
   const auto stopping =
       static_cast<std::size_t>(gateway::refusal_cause::stopping);
   snapshot.core.refused[stopping] = 5;
@@ -37,6 +38,8 @@
         "store_calls_total{cause=\"listing\"} 3",
         "store_calls_total{cause=\"catch_up\"} 1",
         "store_calls_total{cause=\"watch\"} 2",
+        "store_failures_total{cause=\"unreachable\"} 4",
+        "store_failures_total{cause=\"too_large\"} 6",
         "refused_total{cause=\"stopping\"} 5"}) {
     INFO(line);
     CHECK(CountLine(text, prefix + line) == 1);
--- a/packages/gateway/store_follower.cpp
+++ b/packages/gateway/store_follower.cpp
@@ -177,9 +177,11 @@
 
 void store_follower::OnFailure(store_failure failure, time_point now) {
   open_ = false;
-  if (failure == store_failure::compacted) {
-    // Another stale listing could be as old as the lost history.
-    compacted_ = true;
+  // Another stale listing could be as old as the lost history.
+  const bool relists =
+      NeedsListing(failure) && next_ != store_read_cause::listing;
+  compacted_ = compacted_ || relists || failure == store_failure::compacted;
+  if (relists || failure == store_failure::compacted) {
     StartListing(now);
     return;
   }
--- a/packages/gateway/store_reader.cpp
+++ b/packages/gateway/store_reader.cpp
@@ -194,7 +194,11 @@
                                                     time_point now) {
   const bool was_listed = follower_.Listed();
   follower_.OnFailure(failure, now);
-  if (failure != store_failure::compacted) {
+  // A store that lacks the history answers, and so does one whose answer is too
+  // large; a peer that cannot help is left for one that can.
+  const bool answers = failure == store_failure::compacted ||
+                       (NeedsListing(failure) && sources_.ReadsStore());
+  if (!answers) {
     store_failed_ = store_failed_ || sources_.ReadsStore();
     sources_.OnFailure(now);
   }
--- a/packages/gateway/store_type.h
+++ b/packages/gateway/store_type.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/time_type.h"
@@ -39,7 +40,30 @@
   refused,      ///< The store rejected the read.
   compacted,    ///< The requested history was compacted.
   unreadable,   ///< The answer could not be decoded.
+  too_large,    ///< The answer exceeds the bound on its size.
 };
+inline constexpr std::size_t kStoreFailures = 5;
+
+/** Failed reads by reason. */
+using store_failure_counts = std::array<std::uint64_t, kStoreFailures>;
+
+/** Name of a failure in logs and metrics. */
+constexpr std::string_view StoreFailureName(store_failure failure) {
+  constexpr std::string_view kNames[kStoreFailures] = {
+      "unreachable", "refused", "compacted", "unreadable", "too_large"};
+  return kNames[static_cast<std::size_t>(failure)];
+}
+
+/**
+ * True when the answer to a watch can never be had: the store lacks the
+ * history, or the missed changes are too many or not readable. Only a listing
+ * shows the state then.
+ */
+constexpr bool NeedsListing(store_failure failure) {
+  return failure == store_failure::compacted ||
+         failure == store_failure::unreadable ||
+         failure == store_failure::too_large;
+}
 
 /** Kinds of reads. */
 enum class store_read_kind : std::uint8_t { list, watch };
