Judge a request by the limits in force when its head is complete

Cause: a session gives the parser its limits when it begins to wait, which is before the last answer.

Server_BodyBreaksOff checks that a request that is reset or ends in its body is none; it held before.

--- a/packages/edge/http_server.cpp
+++ b/packages/edge/http_server.cpp
@@ -167,6 +167,7 @@
   void Reply(const http_reply& reply);
   void Close();
   void Sweep(clock::time_point now);
+  void ApplyLimits();
   client_connection Connection() const { return {round_trip_, requests_ <= 1}; }
 
  private:
@@ -208,10 +209,7 @@
   reading_ = true;
   request_started_ = false;
   parser_.emplace();
-  parser_->header_limit(
-      static_cast<std::uint32_t>(owner_->limits.header_bytes));
-  parser_->body_limit(owner_->limits.body_bytes);
-  buffer_.max_size(owner_->limits.header_bytes + kMaxUnparsedBytes);
+  ApplyLimits();
   http::async_read_header(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t) {
@@ -219,6 +217,17 @@
       });
 }
 
+/** A request is judged by the limits that are in force when its head is
+ *  complete: its connection may have been idle since before they changed. */
+void http_server::state::session::ApplyLimits() {
+  if (!reading_ || parser_->is_header_done()) return;
+  const gateway::client_limits& limits = owner_->limits;
+  parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+  parser_->body_limit(limits.body_bytes);
+  buffer_.max_size(
+      std::max(limits.header_bytes + kMaxUnparsedBytes, buffer_.size()));
+}
+
 void http_server::state::session::OnHeader(error_code error) {
   if (error) {
     OnReadError(error);
@@ -460,6 +469,7 @@
 
 void http_server::SetLimits(const gateway::client_limits& limits) {
   state_->limits = limits;
+  for (const auto& [key, one] : state_->sessions) one->ApplyLimits();
 }
 
 void http_server::StartDraining() { state_->draining = true; }
--- a/packages/edge/tests/http_server_test.cpp
+++ b/packages/edge/tests/http_server_test.cpp
@@ -342,4 +342,89 @@
   }
 }
 
+// Guards against limits that reach a kept connection one request late, or while
+// the head of a request arrives.
+TEST_CASE_METHOD(server_fixture, "Server_LimitsChange_HoldOnKeptConnections") {
+  const auto limits = [](std::size_t header, std::size_t body) {
+    gateway::client_limits result;
+    result.header_bytes = header;
+    result.body_bytes = body;
+    return result;
+  };
+  const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const auto sized = [&](std::size_t size) {
+    return head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
+           std::string(size, 'b');
+  };
+  const auto chunked = [&](std::size_t size) {
+    std::string text = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (; size > 0; size -= 100)
+      text += "64\r\n" + std::string(100, 'b') + "\r\n";
+    return text + "0\r\n\r\n";
+  };
+  const std::string padded = head + "X-Pad: " + std::string(3000, 'p') +
+                             "\r\nContent-Length: 0\r\n\r\n";
+  struct sample {
+    const char* name;
+    std::string request;
+    gateway::client_limits small;
+    std::string_view refused;
+  };
+  const std::vector<sample> samples = {
+      {"body with a length", sized(2000), limits(16384, 1000), "HTTP/1.1 413"},
+      {"body in chunks", chunked(2000), limits(16384, 1000), "HTTP/1.1 413"},
+      {"head", padded, limits(1000, 262144), "HTTP/1.1 431"}};
+  const gateway::client_limits large = limits(16384, 262144);
+  for (const sample& one : samples) {
+    for (const bool raised : {true, false}) {
+      for (const bool within_head : {false, true}) {
+        INFO(one.name << (raised ? " raised" : " lowered")
+                      << (within_head ? " within the head" : " before it"));
+        server_->SetLimits(raised ? one.small : large);
+        auto socket = Connect();
+        socket->set_option(tcp::no_delay(true));
+        const auto receive = [&] {
+          Run(milliseconds(5));
+          socket->non_blocking(true);
+          std::string text(4096, 0);
+          boost::system::error_code ignored;
+          text.resize(socket->read_some(asio::buffer(text), ignored));
+          return text;
+        };
+        asio::write(*socket, asio::buffer(sized(10)));
+        CHECK(StartsWith(receive(), "HTTP/1.1 200"));
+        const std::size_t before = within_head ? 20 : 0;
+        asio::write(*socket, asio::buffer(one.request, before));
+        Run(milliseconds(5));
+        server_->SetLimits(raised ? large : one.small);
+        asio::write(*socket, asio::buffer(one.request.substr(before)));
+        const std::string answer = receive();
+        INFO(answer);
+        CHECK(StartsWith(answer, raised ? "HTTP/1.1 200" : one.refused));
+      }
+    }
+  }
+}
+
+// Guards against taking a part of a request for one: its client reset the
+// connection or ended it in the body.
+TEST_CASE_METHOD(server_fixture, "Server_BodyBreaksOff_IsNoRequest") {
+  for (const char* begin :
+       {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n01234",
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\n01234\r\n",
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Len"}) {
+    for (const bool reset : {false, true}) {
+      auto socket = Connect();
+      asio::write(*socket, asio::buffer(std::string(begin)));
+      Run(milliseconds(5));
+      if (reset) socket->set_option(asio::socket_base::linger(true, 0));
+      socket->close();
+      Run(milliseconds(5));
+    }
+  }
+  CHECK(targets_.empty());
+  CHECK(server_->Counters().open == 0);
+}
+
 }  // namespace corianderrail::edge
