Let the greatest holder of incomplete answers give way first

Cause: the announced length was reserved at once, first come first served. Now bytes count when they have arrived, by leaf, and if all together exceed the bound the largest answer of the leaf that holds most is given up: its call fails, the leaf counts as failing, its connection is freed. Large parts of a query wait with the records that can be used only.

The bytes of clients that send slowly are bounded by their time limit only, as before.

--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -79,8 +79,8 @@
   /** Answers a request; does nothing when its connection is closed. */
   void Reply(request_id request, const http_reply& reply);
 
-  /** Sets size and time limits. They hold at once for each request whose head is
-   *  not complete yet, also on connections that are open already. */
+  /** Sets size and time limits. They hold at once for each request whose head
+   * is not complete yet, also on connections that are open already. */
   void SetLimits(const gateway::client_limits& limits);
 
   /** From now on the connection is closed after each answer. */
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -53,6 +53,29 @@
   });
 }
 
+/**
+ * Counts the bytes of an incomplete answer. If all together are too many, the
+ * largest ones of the leaf that holds most are given up: their calls fail, and
+ * so frees its connections.
+ * @return False when the given answer is one of them.
+ */
+bool leaf_pool::state::Reserve(leaf_handle handle, leaf_call call,
+                               std::size_t bytes) {
+  const gateway::message_id message{static_cast<std::uint64_t>(call)};
+  const gateway::sender_id sender{static_cast<std::uint64_t>(handle)};
+  bool kept = true;
+  for (const auto given_up : incomplete.Set(message, sender, bytes)) {
+    if (given_up == message) {
+      kept = false;
+      continue;
+    }
+    const auto found = busy.find(static_cast<std::uint64_t>(given_up));
+    if (found == busy.end()) continue;
+    if (const auto one = found->second.lock()) one->GiveUp();
+  }
+  return kept;
+}
+
 leaf_pool::state::connection_ptr leaf_pool::state::PopIdle(leaf& from,
                                                            bool recent_only) {
   if (from.idle.empty()) return nullptr;
@@ -254,6 +277,7 @@
 
 leaf_pool_counters leaf_pool::Counters() const {
   leaf_pool_counters counters = state_->counters;
+  counters.answer_bytes = state_->incomplete.Total();
   for (const auto& [handle, to] : state_->leafs) {
     counters.open += to.all.size();
   }
--- a/packages/edge/leaf_pool_connection.cpp
+++ b/packages/edge/leaf_pool_connection.cpp
@@ -29,10 +29,13 @@
 constexpr std::size_t kMaxAnswerBytes = 8u << 20;
 constexpr std::uint32_t kMaxAnswerHeaderBytes = 64u << 10;
 
-/** The same for an answer that does not state its length, and for all
- *  incomplete answers together. A leaf in trouble may send without end. */
+/** The same for an answer that does not state its length. A leaf in trouble may
+ *  send without end. */
 constexpr std::size_t kMaxUnsizedAnswerBytes = 4u << 20;
-constexpr std::size_t kMaxIncompleteBytes = 16u << 20;
+
+/** Bodies that are announced as larger are read in pieces, so that they count
+ *  while they arrive. */
+constexpr std::size_t kSmallAnswerBytes = 64u << 10;
 
 /** Interim (1xx) answers before the answer. */
 constexpr std::uint32_t kMaxInterimAnswers = 8;
@@ -129,13 +132,13 @@
     return;
   }
   const auto length = parser_->content_length();
-  if (length && (*length > kMaxAnswerBytes || !Reserve(*length))) {
+  if (length && *length > kMaxAnswerBytes) {
     OnAnswer(http::make_error_code(http::error::body_limit));
     return;
   }
-  if (!length) {
-    parser_->body_limit(kMaxUnsizedAnswerBytes);
-    ReadUnsizedBody();
+  if (!length) parser_->body_limit(kMaxUnsizedAnswerBytes);
+  if (!length || *length > kSmallAnswerBytes) {
+    ReadBody();
     return;
   }
   http::async_read(
@@ -146,34 +149,28 @@
 }
 
 /** Reads the body in pieces, so that its size counts while it grows. */
-void leaf_pool::state::connection::ReadUnsizedBody() {
+void leaf_pool::state::connection::ReadBody() {
   http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t) {
         if (self->closed_ || !self->current_) return;
-        if (!error && !self->Reserve(self->parser_->get().body().size())) {
+        const std::size_t size = self->parser_->get().body().size();
+        if (!error &&
+            !self->owner_->Reserve(self->handle_, self->current_->call, size)) {
           error = http::make_error_code(http::error::body_limit);
         }
         if (error || self->parser_->is_done()) {
           self->OnAnswer(error);
           return;
         }
-        self->ReadUnsizedBody();
+        self->ReadBody();
       });
 }
 
-/** Counts the body of the present answer as incomplete.
- *  @return False when all incomplete answers together are too large. */
-bool leaf_pool::state::connection::Reserve(std::size_t bytes) {
-  std::uint64_t& all = owner_->counters.answer_bytes;
-  all = all - reserved_ + bytes;
-  reserved_ = bytes;
-  return all <= kMaxIncompleteBytes;
-}
-
 void leaf_pool::state::connection::OnAnswer(error_code error) {
   if (closed_ || !current_) return;
-  Reserve(0);
+  const gateway::message_id message{static_cast<std::uint64_t>(current_->call)};
+  owner_->incomplete.Remove(message);
   // Only the end of the connection says that such an answer is complete.
   const bool ends_here = !error && parser_->need_eof();
   if (ends_here && !EndedInOrder(SignsOf(socket_, error, write_error_))) {
@@ -273,12 +270,21 @@
   owner_->Fail(call, failure);
 }
 
+/** Fails the call, because its answer fills the memory for all answers. */
+void leaf_pool::state::connection::GiveUp() {
+  ++owner_->counters.malformed;
+  FailCall(leaf_failure::malformed);
+  Close();
+}
+
 void leaf_pool::state::connection::Close() {
   if (closed_) return;
   const auto self = shared_from_this();
   closed_ = true;
-  Reserve(0);
   if (current_) {
+    const gateway::message_id message{
+        static_cast<std::uint64_t>(current_->call)};
+    owner_->incomplete.Remove(message);
     owner_->busy.erase(static_cast<std::uint64_t>(current_->call));
     current_.reset();
   }
--- a/packages/edge/leaf_pool_state.h
+++ b/packages/edge/leaf_pool_state.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "edge/leaf_pool.h"
+#include "gateway/byte_budget.h"
 
 namespace corianderrail::edge {
 
@@ -33,6 +34,10 @@
   class connection;
   using connection_ptr = std::shared_ptr<connection>;
 
+  /** Bytes of all incomplete answers together. Leafs in trouble may send
+   * without end. */
+  static constexpr std::size_t kMaxIncompleteBytes = 16u << 20;
+
   /** All connections to one leaf. */
   struct leaf {
     std::string address;
@@ -63,11 +68,14 @@
   void OnIdle(gateway::leaf_handle handle, const connection_ptr& one);
   void OnClosed(gateway::leaf_handle handle, const connection_ptr& one);
   void Fail(gateway::leaf_call call, gateway::leaf_failure failure);
+  bool Reserve(gateway::leaf_handle handle, gateway::leaf_call call,
+               std::size_t bytes);
   connection_ptr PopIdle(leaf& from, bool recent_only);
 
   boost::asio::io_context& io;
   event_sink sink;
   leaf_pool_counters counters;
+  gateway::byte_budget incomplete{kMaxIncompleteBytes};  ///< Answers by leaf.
   std::map<gateway::leaf_handle, leaf> leafs;
   std::unordered_map<std::uint64_t, std::weak_ptr<connection>> busy;
 };
@@ -84,6 +92,7 @@
 
   void Open(const std::string& address);
   void Send(gateway::send_leaf_effect effect);
+  void GiveUp();
   void Close();
 
   clock::time_point IdleSince() const { return idle_since_; }
@@ -102,8 +111,7 @@
 
   void StartRead();
   void OnHeader(boost::system::error_code error);
-  void ReadUnsizedBody();
-  bool Reserve(std::size_t bytes);
+  void ReadBody();
   void OnAnswer(boost::system::error_code error);
   void Finish();
   void BecomeIdle();
@@ -118,7 +126,6 @@
   std::optional<parser> parser_;
   std::optional<gateway::send_leaf_effect> current_;
   std::string write_buffer_;
-  std::size_t reserved_ = 0;           ///< Of kMaxIncompleteBytes.
   std::uint32_t interim_answers_ = 0;  ///< Since the request was sent.
   bool writing_ = false;
   boost::system::error_code write_error_;  ///< Of the present request.
--- a/packages/edge/tests/leaf_pool_test.cpp
+++ b/packages/edge/tests/leaf_pool_test.cpp
@@ -133,7 +133,13 @@
           if (script_.empty()) return;
           const reply_script next = script_.front();
           script_.pop_front();
-          asio::write(*socket, asio::buffer(next.bytes));
+          if (next.bytes.size() > kBufferedBytes) {
+            const auto bytes = std::make_shared<std::string>(next.bytes);
+            asio::async_write(*socket, asio::buffer(*bytes),
+                              [bytes, socket](auto, std::size_t) {});
+          } else {
+            asio::write(*socket, asio::buffer(next.bytes));
+          }
           if (!next.repeated.empty()) {
             SendWithoutEnd(socket,
                            std::make_shared<std::string>(next.repeated));
@@ -184,6 +190,9 @@
    *  eighth of the memory of a small host. */
   static constexpr std::size_t kMaxEndlessBytes = 20u << 20;
 
+  /** Fits the buffers of a connection; more is written while the pool reads. */
+  static constexpr std::size_t kBufferedBytes = 64u << 10;
+
   std::size_t endless_bytes_ = 0;
   int closed_by_host_ = 0;
   asio::io_context io_;
@@ -451,4 +460,27 @@
   CHECK(leaving == std::vector<bool>{true, true, false});
 }
 
+// Guards against one leaf that takes the memory for all answers: by large ones
+// that it announces and sends slowly, or by many bytes that do not end.
+TEST_CASE_METHOD(pool_fixture, "Pool_OneLeafFillsTheMemory_OthersAreServed") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: p\r\nContent-Length: 8388608\r\n\r\n";
+  std::size_t sent = 0;
+  SECTION("announced only") { sent = 10; }
+  SECTION("nearly sent") { sent = 7u << 20; }
+  const std::string part = head + std::string(sent, 'x');
+  const std::string sound(3u << 20, 's');
+  script_ = {{part}, {part}, {Answer("c", sound)}};
+  Send("a");
+  Send("b");
+  Run(milliseconds(300));
+  Send("c", true, 2);
+  Run(milliseconds(300));
+  CHECK(Outcome(3) == sound);
+  const bool full = sent > 10;
+  const int failed = (Outcome(1) == "-" ? 1 : 0) + (Outcome(2) == "-" ? 1 : 0);
+  CHECK(failed == (full ? 1 : 0));
+  CHECK(pool_.Counters().answer_bytes <= 16u << 20);
+}
+
 }  // namespace corianderrail::edge
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -151,6 +151,7 @@
                     leaf_answer& answer, time_point now);
   void HandleFailure(exchange& pending, std::size_t index, bool ran,
                      time_point now);
+  static void DropNeedlessRecords(const exchange& pending, part& piece);
   static std::string MissingParts(const exchange& pending);
   void LogAbandoned(const exchange& pending, time_point now);
   void Answer(exchange& pending, client_answer answer, time_point now);
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -37,6 +37,9 @@
  *  when it is registered again. */
 constexpr duration kRetryNoLeaf = std::chrono::milliseconds(400);
 
+/** Parts up to this size wait as they are. */
+constexpr std::size_t kMaxWaitingPartBytes = 4096;
+
 std::string Micros(duration value) { return std::to_string(value.count()); }
 
 answer_outcome OutcomeOf(const client_answer& answer) {
@@ -277,6 +280,15 @@
   }
 }
 
+/** A part waits for the others with the records that its answer can use only:
+ *  large bodies of many parts would fill the memory meanwhile. */
+void gateway::DropNeedlessRecords(const exchange& pending, part& piece) {
+  std::string& body = piece.answer.body;
+  if (body.size() <= kMaxWaitingPartBytes) return;
+  const std::string_view whole = body;
+  body = MergeGreatest(std::span(&whole, 1), pending.matched->top_records);
+}
+
 void gateway::HandleAnswer(exchange& pending, std::size_t index,
                            open_request& call, leaf_answer& answer,
                            time_point now) {
@@ -292,6 +304,7 @@
     piece.state = part::phase::answered;
     piece.hedge_at = kNever;
     piece.answer = std::move(answer);
+    if (pending.matched->Gathers()) DropNeedlessRecords(pending, piece);
     if (!piece.answer.not_run) pending.may_have_run = true;
     return;
   }
--- a/packages/gateway/tests/gateway_query_test.cpp
+++ b/packages/gateway/tests/gateway_query_test.cpp
@@ -287,4 +287,21 @@
   CHECK(host.DrainSends().size() == 4);
 }
 
+// Guards against losing records of a large part that waits for the others.
+TEST_CASE_METHOD(query_fixture, "Query_PartIsLarge_KeepsItsGreatestRecords") {
+  const auto id = Request("/query/x");
+  auto sends = DrainSends();
+  REQUIRE(sends.size() == 4);
+  std::string large;
+  for (int i = 0; i < 1000; ++i) large += std::string(16, 'a');
+  large += std::string(16, 'z');
+  Reply(sends[0], Success(sends[0], large + std::string(16, 'y')));
+  for (std::size_t i = 1; i < 4; ++i) {
+    Reply(sends[i], Success(sends[i], std::string(16, 'x')));
+  }
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->body ==
+        std::string(16, 'z') + std::string(16, 'y') + std::string(16, 'x'));
+}
+
 }  // namespace corianderrail::gateway
