Play the shapes of the review in the soak

The soak had one host a zone that reads the store, no leaf that says that it leaves, no entry that lapses alone and no answer that is reset early, so it found none of the review's faults. Runs beside each other take different ports.

--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -9,6 +9,9 @@
 import hashlib
 import json
 import random
+import socket
+import struct
+import time
 import urllib.parse
 
 RECORD_BYTES = 16
@@ -21,8 +24,8 @@
             for i in range(4)]
 
 
-async def read_request(reader):
-    """Returns method, target, headers and body; None when the peer has closed."""
+async def read_head(reader):
+    """Returns method, target and headers; None when the peer has closed."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -34,8 +37,16 @@
         if ":" in line:
             name, value = line.split(":", 1)
             headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return method, target, headers, body
+    return method, target, headers
+
+
+async def read_request(reader):
+    """Returns method, target, headers and body; None when the peer has closed."""
+    head = await read_head(reader)
+    if head is None:
+        return None
+    body = await reader.readexactly(int(head[2].get("content-length", 0)))
+    return (*head, body)
 
 
 def answer(status, headers=(), body=b""):
@@ -163,10 +174,13 @@
 
     In a faulty mode, a random `share` of the requests is refused as not run
     (shed), ended by a reset of the connection (reset), never answered (silent),
-    answered twice (extra), answered incompletely (cut) or answered with 500
-    (error).
+    answered twice (extra), answered incompletely (cut), answered with 500
+    (error), or answered without a length and before its body was read, and then
+    reset in the body (early). A leaf that leaves says so in each answer.
     """
 
+    RECEIVE_BUFFER_BYTES = 8192  # A long body is still being sent meanwhile.
+
     def __init__(self, service, number, zone, runs, rng):
         super().__init__()
         self.service = service
@@ -175,22 +189,59 @@
         self.runs = runs
         self.rng = rng
         self.work_s = 0.004
-        self.mode = "good"  # good, shed, reset, silent, extra, cut, error
+        self.mode = "good"
         self.share = 0.5
+        self.leaving = False
 
     def entry(self, state="ready"):
         return {"Service": self.service, "Addr": f"127.0.0.1:{self.port}",
                 "Zone": self.zone, "Version": "v1", "Slots": 2, "State": state,
                 "ColdLeftMs": 0, "Seq": 1}
 
+    async def start(self, port=0):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                            self.RECEIVE_BUFFER_BYTES)
+        listener.bind(("127.0.0.1", port))
+        self.server = await asyncio.start_server(self._accept, sock=listener)
+        self.port = listener.getsockname()[1]
+
     async def serve(self, reader, writer):
         while True:
-            request = await read_request(reader)
-            if request is None:
+            head = await read_head(reader)
+            if head is None:
+                return
+            if await self.ends_early(head, writer):
                 return
-            if not await self.reply(request, writer):
+            body = await reader.readexactly(int(head[2].get("content-length", 0)))
+            if not await self.reply((*head, body), writer):
                 return
 
+    async def ends_early(self, head, writer):
+        """Half of an answer without a length, then a reset, while the body of the
+        request is on its way."""
+        method, target, headers = head
+        early = self.mode == "early" and self.rng.random() < self.share
+        if not early or headers.get("x-target-instance") != self.instance:
+            return False
+        attempt = headers.get("x-attempt-id", "")
+        self.note_run(attempt, method)
+        body = f"{self.service}:{attempt}:{target}".encode()
+        writer.write(f"HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n"
+                     f"X-Server-Stamp: {self.service}.{attempt}.1\r\n\r\n".encode()
+                     + body[:len(body) // 2])
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        # Without this option the system ends a connection without unread bytes
+        # in order.
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        return True
+
+    def note_run(self, attempt, method):
+        self.runs.append((attempt, self.instance, method, time.monotonic()))
+
     async def reply(self, request, writer):
         method, target, headers, _ = request
         attempt = headers.get("x-attempt-id", "")
@@ -201,7 +252,7 @@
         if faulty and self.mode == "shed":
             writer.write(answer(503, [("X-Not-Run", "1")]))
             return True
-        self.runs.append((attempt, self.instance, method))
+        self.note_run(attempt, method)
         await asyncio.sleep(self.work_s * self.rng.uniform(0.5, 2))
         if faulty and self.mode == "silent":
             await asyncio.sleep(3600)
@@ -213,8 +264,11 @@
         if not target.startswith("/query/"):
             body = f"{self.service}:{attempt}:{target}".encode()
         status = 500 if faulty and self.mode == "error" else 200
-        response = answer(status, [("X-Attempt-Id", attempt),
-                                   ("X-Server-Stamp", stamp)], body)
+        fields = [("X-Attempt-Id", attempt), ("X-Server-Stamp", stamp),
+                  ("X-Leaf", self.instance)]
+        if self.leaving:
+            fields.append(("Server-Leaving", "1"))
+        response = answer(status, fields, body)
         if faulty and self.mode == "cut":
             writer.write(response[:-3])
             return False
