Let an exception end one event and not the process

An unexpected error in a handler ended the process, and with it the requests of all its clients. Now the event, effect, request or update that threw is given up, logged as handler_failed and counted; a request gets 502, which promises nothing. Checks schedule their next round first, and a failed update does not end the reads of the store.

--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -24,15 +24,9 @@
   http_handler handler;
   handler.on_request = [this](request_id id, http_request&& request) {
     stop.last_request = Now();
-    auto decoded = std::make_shared<gateway::client_request>(
-        platform::DecodeRequest(std::move(request)));
-    if (const auto connection = client_server.ConnectionOf(id)) {
-      decoded->round_trip = connection->round_trip;
-      decoded->new_connection = connection->is_new;
-    }
-    Reduce(gateway::request_event{
-        gateway::exchange_id{static_cast<std::uint64_t>(id)},
-        std::move(decoded)});
+    const bool done =
+        guard.Call("request", [&] { OnClientRequest(id, std::move(request)); });
+    if (!done) client_server.Reply(id, {gateway::kStatusBadGateway, {}, {}});
   };
   handler.on_disconnect = [this](request_id id) {
     Reduce(gateway::client_disconnected_event{
@@ -41,6 +35,19 @@
   return handler;
 }
 
+void edge_process::state::OnClientRequest(request_id id,
+                                          http_request&& request) {
+  auto decoded = std::make_shared<gateway::client_request>(
+      platform::DecodeRequest(std::move(request)));
+  if (const auto connection = client_server.ConnectionOf(id)) {
+    decoded->round_trip = connection->round_trip;
+    decoded->new_connection = connection->is_new;
+  }
+  Reduce(gateway::request_event{
+      gateway::exchange_id{static_cast<std::uint64_t>(id)},
+      std::move(decoded)});
+}
+
 http_handler edge_process::state::ReadyHandler() {
   http_handler handler;
   handler.on_request = [this](request_id id, http_request&& request) {
@@ -101,6 +108,7 @@
     from.relay_calls = store.RelayCalls();
     from.store_calls = store.StoreCalls();
     from.store_failures = store.Failures();
+    from.handler_failures = guard.Failures();
     from.store_revision = store.Reader().CompleteRevision();
     from.items_age = store.Reader().Age(Now());
     from.log_lines_dropped = lines.Dropped() + log.Suppressed();
--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -33,6 +33,7 @@
   std::uint64_t store_revision = 0;  ///< All changes up to it were read.
   duration items_age{};  ///< Since the store last confirmed the items.
   std::uint64_t log_lines_dropped = 0;  ///< Log lines that were not written.
+  std::uint64_t handler_failures = 0;   ///< Handlers that threw.
   bool ready = false;                   ///< This host accepts clients.
 };
 
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -17,6 +18,7 @@
 #include "edge/edge_state.h"
 #include "edge/process_time.h"
 #include "edge/settings_change.h"
+#include "gateway/http_status.h"
 #include "platform/config_codec.h"
 #include "platform/message_codec.h"
 #include "platform/wire_names.h"
@@ -92,6 +94,13 @@
   return micros(use.ru_utime) + micros(use.ru_stime);
 }
 
+/** The client request that an event brings, if any. */
+std::optional<request_id> RequestOf(const gateway::event& event) {
+  const auto* arrived = std::get_if<gateway::request_event>(&event);
+  if (arrived == nullptr) return std::nullopt;
+  return request_id{static_cast<std::uint64_t>(arrived->exchange)};
+}
+
 gateway::gateway_settings MakeGatewaySettings(const edge_settings& from) {
   gateway::gateway_settings settings;
   settings.here = {from.zone, from.region, from.regions};
@@ -107,6 +116,11 @@
       path(std::move(given_path)),
       lines(io, STDOUT_FILENO, kMaxQueuedLogBytes),
       log(lines, settings.host),
+      guard([this](std::string_view handler, std::string_view error) {
+        const decision_input inputs[] = {{"handler", std::string(handler)},
+                                         {"error", std::string(error)}};
+        log.WriteEvent("handler_failed", inputs);
+      }),
       core(MakeGatewaySettings(settings)),
       leafs(io, [this](gateway::event one) { Reduce(std::move(one)); }),
       client_server(io, settings.client_address,
@@ -147,9 +161,19 @@
     std::vector<gateway::event> batch;
     batch.swap(posted);
     gateway::effect_list effects;
-    for (auto& one : batch) core.Reduce(std::move(one), Now(), effects);
+    for (auto& one : batch) {
+      const auto request = RequestOf(one);
+      const bool done = guard.Call(
+          "event", [&] { core.Reduce(std::move(one), Now(), effects); });
+      // A leaf may have the request already, so nothing is promised.
+      if (!done && request) {
+        client_server.Reply(*request, {gateway::kStatusBadGateway, {}, {}});
+      }
+    }
     for (auto& effect : effects) {
-      std::visit([this](auto& one) { Execute(one); }, effect);
+      guard.Call("effect", [&] {
+        std::visit([this](auto& one) { Execute(one); }, effect);
+      });
     }
   }
   reducing = false;
@@ -189,7 +213,8 @@
       gateway::MaxItemAge(settings.config_propagation, settings.leaf_drain);
   link.members = [this] { return std::span(members); };
   link.on_update = [this](const gateway::store_update& update) {
-    OnStoreUpdate(update);
+    // The next read follows whatever becomes of this update.
+    guard.Call("store_update", [&] { OnStoreUpdate(update); });
   };
   link.on_source = [this](const source_change& change) { OnSource(change); };
   link.on_relist = [this](gateway::store_failure cause) {
@@ -339,6 +364,11 @@
 }
 
 void edge_process::state::Sweep() {
+  // First, so that an unexpected error below does not end all later checks.
+  sweep_timer.expires_after(kSweepPeriod);
+  sweep_timer.async_wait([this](error_code error) {
+    if (!error) Sweep();
+  });
   EndStartupPeriod();
   client_server.Sweep();
   ready_server.Sweep();
@@ -349,10 +379,6 @@
   CheckClock();
   CheckRevisionLag();
   peers.SetBusy(load.Update(ProcessorTime(), Now()));
-  sweep_timer.expires_after(kSweepPeriod);
-  sweep_timer.async_wait([this](error_code error) {
-    if (!error) Sweep();
-  });
 }
 
 /** Detects that this process did not run for a while. Members and connections
@@ -424,7 +450,7 @@
   self.OnMembers();
   self.WatchSettings();
   self.Sweep();
-  self.io.run();
+  self.guard.Run(self.io);
 }
 
 }  // namespace corianderrail::edge
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -13,6 +13,7 @@
 
 #include "edge/decision_log.h"
 #include "edge/edge_process.h"
+#include "edge/handler_guard.h"
 #include "edge/http_server.h"
 #include "edge/leaf_pool.h"
 #include "edge/line_writer.h"
@@ -60,6 +61,7 @@
   void Execute(gateway::log_effect& effect) { log.Write(effect, Now()); }
 
   http_handler ClientHandler();
+  void OnClientRequest(request_id id, http_request&& request);
   http_handler ReadyHandler();
   http_handler LookupHandler();
   http_handler MetricsHandler();
@@ -91,6 +93,7 @@
   asio::io_context io{1};
   line_writer lines;
   decision_log log;
+  handler_guard guard;
   gateway::gateway core;
   leaf_pool leafs;
   http_server client_server;
