Wait for no probe while the store is listed

A host with stale items asked without a pause whether a probe was due, for as long as a listing of the store took: a loop of its event loop, found by reading the change. The next probe was due in the past, and none was needed. No probe is due now while the store is listed, and the check sees the present read, not the one before it.

Measured: Reader_ListsWithStaleItems_NeedsNoProbe fails without each half.

--- a/packages/gateway/store_reader.cpp
+++ b/packages/gateway/store_reader.cpp
@@ -52,7 +52,6 @@
   sourced_read result{
       sources_.Choose(members, zone_, follower_.Listed(), now, missing_),
       std::move(*read)};
-  ScheduleProbes(members.size(), now);
   const duration wait = WaitFor(result.read, now);
   if (result.peer) {
     result.read.timeout = std::min(wait + kPeerTimeout, longest_read_);
@@ -63,6 +62,7 @@
   read_ = result.read;
   read_began_ = now;
   if (read_.after_key.empty()) listing_began_ = now;
+  ScheduleProbes(members.size(), now);
   return result;
 }
 
@@ -103,7 +103,9 @@
 
 time_point store_reader::NextProbeWake() const {
   if (probe_.Active()) return probe_.NextWake();
-  return follower_.Listed() ? sources_.Confirmed() + max_age_ + kTick : kNever;
+  // The read after a listing schedules the probes anew.
+  if (!follower_.Listed() || ListsStore()) return kNever;
+  return sources_.Confirmed() + max_age_ + kTick;
 }
 
 std::optional<store_read> store_reader::NextProbe(time_point now) {
--- a/packages/gateway/tests/store_probe_test.cpp
+++ b/packages/gateway/tests/store_probe_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 
+#include "gateway/store_reader.h"
+
 namespace corianderrail::gateway {
 
 namespace {
@@ -86,4 +88,36 @@
   CHECK(prompt <= 30);
 }
 
+// Guards against a host that asks without a pause whether a probe is due, while
+// it lists the store and its items are stale.
+TEST_CASE("Reader_ListsWithStaleItems_NeedsNoProbe") {
+  store_reader reader({{}, "a", 1, {}});
+  time_point now(seconds(10));
+  const auto read = [&] {
+    now = std::max(now, reader.NextWake());
+    const auto due = reader.Next({}, now);
+    REQUIRE(due);
+    return due->read.kind;
+  };
+  const auto reply = [&](std::uint64_t revision) {
+    reader.OnReply({{{"k", revision, false, ""}}, revision, false}, {}, now);
+  };
+  CHECK(read() == store_read_kind::list);
+  reply(5);
+  CHECK(read() == store_read_kind::watch);  // Since the stale listing.
+  reply(5);
+  CHECK(read() == store_read_kind::watch);
+  CHECK(reader.NextProbeWake() > now);
+  now += seconds(3);
+  reader.OnFailure(store_failure::compacted, now);
+  CHECK(read() == store_read_kind::list);
+  CHECK(reader.Stale(now));
+  CHECK_FALSE(reader.NextProbe(now));
+  CHECK(reader.NextProbeWake() == kNever);
+  reply(9);
+  CHECK(read() == store_read_kind::watch);
+  CHECK_FALSE(reader.Stale(now));
+  CHECK(reader.NextProbeWake() > now);
+}
+
 }  // namespace corianderrail::gateway
