--- a/packages/edge/tests/stream_end_test.cpp
+++ b/packages/edge/tests/stream_end_test.cpp
@@ -27,8 +27,8 @@
 using tcp = asio::ip::tcp;
 using std::chrono::milliseconds;
 
-const error_code kReset = asio::error::connection_reset;
-const error_code kBrokenPipe = asio::error::broken_pipe;
+constexpr auto kReset = asio::error::connection_reset;
+constexpr auto kBrokenPipe = asio::error::broken_pipe;
 
 /**
  * Model of a socket whose peer sends pieces and then ends or resets the
--- a/packages/gateway/tests/propagation_test.cpp
+++ b/packages/gateway/tests/propagation_test.cpp
@@ -275,7 +275,7 @@
   fleet.Run(seconds(10));
   std::uint64_t before = fleet.StoreCalls();
   fleet.Run(seconds(20));
-  CHECK(fleet.StoreCalls() - before <= 6 * 20);
+  CHECK(fleet.StoreCalls() - before <= 120);  // One a second and reader.
   fleet.SetMode(store_mode::silent);
   before = fleet.StoreCalls();
   fleet.Run(seconds(10));
