--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -9,9 +9,9 @@
 #include "edge/http_server.h"
 #include "edge/leaf_pool.h"
 #include "edge/peer_link.h"
-#include "gateway/answer_stats.h"
+#include "gateway/admission/answer_stats.h"
 #include "gateway/gateway_type.h"
-#include "gateway/store_type.h"
+#include "gateway/store/store_type.h"
 
 namespace corianderrail::edge {
 
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -21,13 +21,13 @@
 #include "edge/process_time.h"
 #include "edge/relay_server.h"
 #include "edge/store_link.h"
-#include "gateway/clock_gap.h"
-#include "gateway/entry_choice.h"
-#include "gateway/fleet_view.h"
 #include "gateway/gateway.h"
-#include "gateway/lag_detector.h"
-#include "gateway/load_signal.h"
-#include "gateway/stop_timing.h"
+#include "gateway/hosts/clock_gap.h"
+#include "gateway/hosts/entry_choice.h"
+#include "gateway/hosts/fleet_view.h"
+#include "gateway/hosts/load_signal.h"
+#include "gateway/hosts/stop_timing.h"
+#include "gateway/store/lag_detector.h"
 
 namespace corianderrail::edge {
 
--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -15,7 +15,7 @@
 
 #include "core/time_type.h"
 #include "gateway/message_type.h"
-#include "gateway/routing_type.h"
+#include "gateway/routing/routing_type.h"
 
 namespace corianderrail::edge {
 
--- a/packages/edge/leaf_pool_state.h
+++ b/packages/edge/leaf_pool_state.h
@@ -21,7 +21,7 @@
 #include <vector>
 
 #include "edge/leaf_pool.h"
-#include "gateway/byte_budget.h"
+#include "gateway/admission/byte_budget.h"
 
 namespace corianderrail::edge {
 
--- a/packages/edge/relay_codec.h
+++ b/packages/edge/relay_codec.h
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "core/time_type.h"
-#include "gateway/store_type.h"
+#include "gateway/store/store_type.h"
 
 namespace corianderrail::edge {
 
--- a/packages/edge/relay_server.h
+++ b/packages/edge/relay_server.h
@@ -8,7 +8,7 @@
 
 #include "edge/http_server.h"
 #include "edge/relay_codec.h"
-#include "gateway/store_cache.h"
+#include "gateway/store/store_cache.h"
 
 namespace corianderrail::edge {
 
--- a/packages/edge/store_link.h
+++ b/packages/edge/store_link.h
@@ -16,7 +16,7 @@
 #include "core/member_type.h"
 #include "edge/http_getter.h"
 #include "edge/relay_codec.h"
-#include "gateway/store_reader.h"
+#include "gateway/store/store_reader.h"
 
 namespace corianderrail::edge {
 
--- a/packages/gateway/answer_stats.cpp
+++ b/packages/gateway/admission/answer_stats.cpp
@@ -1,6 +1,6 @@
 /** @file answer_stats.cpp Histograms with fixed buckets. */
 
-#include "gateway/answer_stats.h"
+#include "gateway/admission/answer_stats.h"
 
 #include <algorithm>
 #include <chrono>
--- a/packages/gateway/answer_timing.cpp
+++ b/packages/gateway/admission/answer_timing.cpp
@@ -7,7 +7,7 @@
  * as soon as enough have.
  */
 
-#include "gateway/answer_timing.h"
+#include "gateway/admission/answer_timing.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/byte_budget.cpp
+++ b/packages/gateway/admission/byte_budget.cpp
@@ -1,6 +1,6 @@
 /** @file byte_budget.cpp Accounting of messages by sender. */
 
-#include "gateway/byte_budget.h"
+#include "gateway/admission/byte_budget.h"
 
 #include <algorithm>
 
--- a/packages/gateway/client_delay.cpp
+++ b/packages/gateway/admission/client_delay.cpp
@@ -8,7 +8,7 @@
  * state it unchanged, so a limit shows as a value that many requests state.
  */
 
-#include "gateway/client_delay.h"
+#include "gateway/admission/client_delay.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/gateway/hedge_timing.cpp
+++ b/packages/gateway/admission/hedge_timing.cpp
@@ -1,6 +1,6 @@
 /** @file hedge_timing.cpp Hedge time by tail latency and latency objective. */
 
-#include "gateway/hedge_timing.h"
+#include "gateway/admission/hedge_timing.h"
 
 #include <algorithm>
 
--- a/packages/gateway/load_shedding.cpp
+++ b/packages/gateway/admission/load_shedding.cpp
@@ -7,7 +7,7 @@
  * arrival costs no leaf time and leaves its client time to retry.
  */
 
-#include "gateway/load_shedding.h"
+#include "gateway/admission/load_shedding.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/packages/gateway/loop_lag.cpp
+++ b/packages/gateway/admission/loop_lag.cpp
@@ -7,7 +7,7 @@
  * as much.
  */
 
-#include "gateway/loop_lag.h"
+#include "gateway/admission/loop_lag.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/gateway/part_queue.cpp
+++ b/packages/gateway/admission/part_queue.cpp
@@ -6,7 +6,7 @@
  * other hosts on the same leafs.
  */
 
-#include "gateway/part_queue.h"
+#include "gateway/admission/part_queue.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/gateway/part_queue.h
+++ b/packages/gateway/admission/part_queue.h
@@ -9,7 +9,7 @@
 #include <set>
 
 #include "core/time_type.h"
-#include "gateway/load_shedding.h"
+#include "gateway/admission/load_shedding.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/record_merge.cpp
+++ b/packages/gateway/admission/record_merge.cpp
@@ -1,6 +1,6 @@
 /** @file record_merge.cpp Partial sort over the records of all parts. */
 
-#include "gateway/record_merge.h"
+#include "gateway/admission/record_merge.h"
 
 #include <algorithm>
 #include <functional>
--- a/packages/gateway/repeat_budget.cpp
+++ b/packages/gateway/admission/repeat_budget.cpp
@@ -1,6 +1,6 @@
 /** @file repeat_budget.cpp Sliding count of first requests and repeats. */
 
-#include "gateway/repeat_budget.h"
+#include "gateway/admission/repeat_budget.h"
 
 #include <algorithm>
 
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "gateway/answer_kind.h"
 #include "gateway/gateway_state.h"
+#include "gateway/leafs/answer_kind.h"
 
 namespace corianderrail::gateway {
 
@@ -33,14 +33,19 @@
 }  // namespace
 
 gateway::gateway(gateway_settings settings)
-    : settings_(std::move(settings)), directory_(settings_.leafs) {
+    : settings_(std::move(settings)),
+      directory_(settings_.leafs),
+      selector_(settings_.here, directory_) {
   slack_share_ = settings_.repeats.slack;
 }
 
 gateway::~gateway() = default;
 
 void gateway::Reduce(event input, time_point now, effect_list& effects) {
-  if (started_ == time_point{}) started_ = now;
+  if (started_ == time_point{}) {
+    started_ = now;
+    selector_.SetStarted(now);
+  }
   effects_ = &effects;
   std::visit([&](auto& one) { On(one, now); }, input);
   effects_ = nullptr;
@@ -273,6 +278,7 @@
 void gateway::On(fleet_event& input, time_point now) {
   const bool joins = input.is_entry && !fleet_.is_entry;
   fleet_ = input;
+  selector_.SetFleet(input);
   if (!fleet_.is_entry) warmup_.Clear();
   if (joins) {
     CheckSoon(now);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -10,18 +10,18 @@
 #include <unordered_map>
 #include <vector>
 
-#include "gateway/answer_stats.h"
-#include "gateway/answer_timing.h"
-#include "gateway/connection_warmup.h"
+#include "gateway/admission/answer_stats.h"
+#include "gateway/admission/answer_timing.h"
+#include "gateway/admission/load_shedding.h"
+#include "gateway/admission/loop_lag.h"
+#include "gateway/admission/part_queue.h"
+#include "gateway/admission/repeat_budget.h"
 #include "gateway/gateway_type.h"
-#include "gateway/leaf_choice.h"
-#include "gateway/leaf_directory.h"
-#include "gateway/load_shedding.h"
-#include "gateway/loop_lag.h"
-#include "gateway/part_queue.h"
-#include "gateway/repeat_budget.h"
-#include "gateway/route_stats.h"
-#include "gateway/route_table.h"
+#include "gateway/leafs/connection_warmup.h"
+#include "gateway/leafs/leaf_directory.h"
+#include "gateway/leafs/leaf_selector.h"
+#include "gateway/routing/route_stats.h"
+#include "gateway/routing/route_table.h"
 
 namespace corianderrail::gateway {
 
@@ -113,7 +113,6 @@
   void WarmUp(const std::string& service);
 
   // gateway_calls.cpp
-  leaf_distance DistanceOf(const leaf_state& leaf) const;
   void Place(exchange& pending, std::size_t index, send_cause cause,
              time_point now);
   void Hedge(exchange& pending, std::size_t index, time_point now);
@@ -121,7 +120,6 @@
                          time_point now);
   void Send(exchange& pending, std::size_t index, std::size_t candidate,
             send_cause cause, time_point now);
-  duration NextBestLatency(std::size_t chosen) const;
   static waiting_part QueuePosition(const exchange& pending, std::size_t index);
   bool QueuePart(exchange& pending, std::size_t index, time_point now);
   request_estimate EstimateWait(const exchange& pending, time_point now);
@@ -129,7 +127,6 @@
   void DispatchPart(const waiting_part& position, time_point now);
   void Dequeue(exchange& pending, std::size_t index);
   void MarkWaitingLate(exchange& pending);
-  std::uint32_t Limit(const leaf_state& leaf, time_point now) const;
   bool MayKeepIdle(const service_state& service) const;
   void CancelCalls(exchange& pending);
   bool SpendRepeat(const exchange& pending, part& piece, repeat_reason reason,
@@ -163,6 +160,7 @@
   gateway_settings settings_;
   std::unique_ptr<route_table> routes_;
   leaf_directory directory_;
+  leaf_selector selector_;  ///< Reads directory_.
   fleet_event fleet_;       ///< Latest size of the fleet.
   double slack_share_ = 0;  ///< Repeats of this host per window.
   bool registry_complete_ = false;
@@ -187,8 +185,6 @@
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
-  std::vector<leaf_candidate> candidates_;
-  std::vector<leaf_state*> candidate_leafs_;
   std::vector<queue_estimate> queue_estimates_;
 };
 
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -4,11 +4,11 @@
 #include <string_view>
 #include <utility>
 
-#include "gateway/answer_kind.h"
+#include "gateway/admission/record_merge.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_state.h"
 #include "gateway/http_status.h"
-#include "gateway/record_merge.h"
+#include "gateway/leafs/answer_kind.h"
 
 namespace corianderrail::gateway {
 
@@ -198,12 +198,8 @@
   best_case.min_ratio =
       pending.matched->Gathers() ? pending.matched->min_shard_ratio : 1.0;
   for (const part& piece : pending.parts) {
-    const auto leafs = directory_.LeafsOf(piece.service->name);
     const bool usable =
-        std::any_of(leafs.begin(), leafs.end(), [&](const leaf_state* leaf) {
-          return directory_.Eligibility(*leaf, now) !=
-                 leaf_eligibility::unusable;
-        });
+        selector_.HasUsable(piece.service->name, *pending.matched, now);
     if (usable) ++best_case.answered;
   }
   return IsUseful(best_case);
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -11,9 +11,9 @@
 #include <string_view>
 #include <utility>
 
+#include "gateway/admission/hedge_timing.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_state.h"
-#include "gateway/hedge_timing.h"
 
 namespace corianderrail::gateway {
 
@@ -23,10 +23,6 @@
  *  fast. */
 constexpr duration kMinCallTime = std::chrono::milliseconds(2);
 
-/** In its startup period, a host uses this fraction of its share of the
- *  connections of a leaf. */
-constexpr std::uint32_t kStartupDivisor = 4;
-
 /** No part is hedged earlier after a start: the usual latencies are unknown,
  * and after a power loss all hosts would ask all leafs at the same time. */
 constexpr duration kFirstHedge = std::chrono::seconds(1);
@@ -52,84 +48,25 @@
 
 }  // namespace
 
-std::uint32_t gateway::Limit(const leaf_state& leaf, time_point now) const {
-  const auto service = services_.find(leaf.record.service);
-  const std::uint32_t max_connections =
-      service == services_.end() ? 0 : service->second->max_connections;
-  const bool near = settings_.here.SameRegion(leaf.record.zone);
-  std::uint32_t share = ConnectionShare(
-      max_connections, near ? fleet_.own_region : fleet_.other_regions, near);
-  // The startup period, the window and a stall never limit a host in the region
-  // of a leaf to less than an equal share of the slots, so these hosts can keep
-  // the leaf busy.
-  const std::uint32_t hosts = std::max(fleet_.own_region.near_hosts, 1u);
-  const std::uint32_t min_limit =
-      near ? (leaf.record.slots + hosts - 1) / hosts : 1;
-  // The leaf may still count connections of the previous process.
-  if (now < started_ + kStartupPeriod) {
-    share = std::max(share / kStartupDivisor, std::min(share, min_limit));
-  }
-  const double window =
-      std::max<double>(leaf.monitor.Window().Limit(now), min_limit);
-  if (window < share) share = static_cast<std::uint32_t>(window);
-  // Open requests at a stalled leaf are late already; more would only queue.
-  if (leaf.monitor.Stalled(now)) {
-    share = std::min(share, std::max(leaf.monitor.Open(), min_limit));
-  }
-  return share;
-}
-
 bool gateway::MayKeepIdle(const service_state& service) const {
   return fleet_.is_entry ||
          LeafHoldsIdle(service.max_connections, fleet_.hosts);
 }
 
-/** Fills candidates_ and candidate_leafs_ with the leafs of the service. */
+/** Collects the leafs that may get a part. */
 void gateway::CollectCandidates(const exchange& pending, const part& piece,
                                 time_point now) {
-  candidates_.clear();
-  candidate_leafs_.clear();
-  const std::uint32_t reserve =
-      piece.service->queue.HoldsOnlyLessUrgent(pending.matched->rank)
-          ? kUrgentReserve
-          : 0;
-  for (leaf_state* leaf : directory_.LeafsOf(piece.service->name)) {
-    leaf_candidate candidate;
-    candidate.expected = pending.stats->ExpectedLatency(
-        leaf->record.zone, settings_.here, pending.matched->objective, now);
-    candidate.eligibility =
-        directory_.Eligibility(*leaf, now, candidate.expected);
-    const bool asked = std::find(piece.asked.begin(), piece.asked.end(),
-                                 leaf->handle) != piece.asked.end();
-    if (asked) candidate.eligibility = leaf_eligibility::unusable;
-    candidate.unloaded = pending.stats->UnloadedLatency(leaf->record.zone);
-    candidate.slowness = leaf->monitor.Slowness(now);
-    candidate.failure_rate = leaf->monitor.FailureRate(now);
-    // Few repeats are allowed, so a failure usually loses the part.
-    candidate.failure_cost = pending.matched->objective;
-    candidate.open = leaf->monitor.Open();
-    candidate.limit = Limit(*leaf, now) + reserve;
-    candidate.slots = leaf->record.slots;
-    candidate.cold = now < leaf->cold_until;
-    candidate.near = settings_.here.SameRegion(leaf->record.zone);
-    // A leaf gets no more requests than it can answer on time. Further parts
-    // wait in this host by rank, and a gathered query may be answered without
-    // the parts that wait.
-    const bool overloaded =
-        candidate.open > 0 &&
-        now + PredictLatency(candidate) > pending.objective_at;
-    if (overloaded || leaf->monitor.AtConnectionLimit(now)) {
-      candidate.limit = std::min(candidate.limit, candidate.open);
-    }
-    candidates_.push_back(candidate);
-    candidate_leafs_.push_back(leaf);
-  }
-}
-
-leaf_distance gateway::DistanceOf(const leaf_state& leaf) const {
-  if (leaf.record.zone == settings_.here.zone) return leaf_distance::zone;
-  return settings_.here.SameRegion(leaf.record.zone) ? leaf_distance::region
-                                                     : leaf_distance::other;
+  leaf_query query;
+  query.service = piece.service->name;
+  query.matched = pending.matched;
+  query.stats = pending.stats.get();
+  query.asked = piece.asked;
+  query.objective_at = pending.objective_at;
+  query.max_connections = piece.service->max_connections;
+  const bool urgent =
+      piece.service->queue.HoldsOnlyLessUrgent(pending.matched->rank);
+  query.reserve = urgent ? kUrgentReserve : 0;
+  selector_.Collect(query, now);
 }
 
 void gateway::Place(exchange& pending, std::size_t index, send_cause cause,
@@ -140,8 +77,7 @@
     return;
   }
   CollectCandidates(pending, piece, now);
-  const leaf_choice choice =
-      ChooseLeaf(candidates_, pending.objective_at - now);
+  const leaf_choice choice = selector_.Choose(pending.objective_at - now);
   if (choice.outcome == choice_outcome::chosen) {
     Send(pending, index, choice.index, cause, now);
     return;
@@ -151,21 +87,11 @@
   if (!waits) piece.state = part::phase::failed;
 }
 
-/** Predicted latency of the best other leaf; 0 without one. */
-duration gateway::NextBestLatency(std::size_t chosen) const {
-  duration best = duration::max();
-  for (std::size_t i = 0; i < candidates_.size(); ++i) {
-    if (i == chosen) continue;
-    if (candidates_[i].eligibility > leaf_eligibility::stalled) continue;
-    best = std::min(best, PredictLatency(candidates_[i]));
-  }
-  return best == duration::max() ? duration{} : best;
-}
-
 void gateway::Send(exchange& pending, std::size_t index, std::size_t candidate,
                    send_cause cause, time_point now) {
   part& piece = pending.parts[index];
-  leaf_state& leaf = *candidate_leafs_[candidate];
+  leaf_state& leaf = selector_.Leaf(candidate);
+  const leaf_candidate& chosen = selector_.Candidates()[candidate];
   const leaf_call call{next_call_++};
   const bool first = piece.asked.empty();
   if (first) piece.service->budget.OnFirst(now);
@@ -174,21 +100,21 @@
   ++piece.open;
   ++counters_.leaf_requests;
   ++counters_.sends[static_cast<std::size_t>(cause)]
-                   [static_cast<std::size_t>(DistanceOf(leaf))];
+                   [static_cast<std::size_t>(selector_.DistanceOf(leaf))];
 
   hedge_inputs inputs;
   inputs.sent = now;
-  inputs.predicted = PredictLatency(candidates_[candidate]);
-  inputs.expected = candidates_[candidate].expected;
+  inputs.predicted = PredictLatency(chosen);
+  inputs.expected = chosen.expected;
   inputs.tail = pending.stats->TailLatency(leaf.record.zone, settings_.here,
                                            pending.matched->objective, now);
-  inputs.alternative = NextBestLatency(candidate);
+  inputs.alternative = selector_.NextBestLatency(candidate);
   inputs.objective_at = pending.objective_at;
   const time_point late_at = HedgeAt(inputs);
   const bool may_hedge =
       pending.Idempotent() && piece.asked.size() < pending.matched->attempts;
   piece.hedge_at = may_hedge ? late_at : kNever;
-  const duration unloaded = candidates_[candidate].unloaded;
+  const duration unloaded = chosen.unloaded;
   const duration work = pending.stats->WorkTime();
   leaf.monitor.OnSent(
       {call, now, inputs.expected, unloaded, work, late_at - now});
@@ -203,8 +129,8 @@
   effects_->push_back(send_leaf_effect{
       call, leaf.handle, leaf.record.address, leaf.record.instance,
       pending.request, pending.deadline - now, pending.Idempotent(),
-      Limit(leaf, now), MayKeepIdle(*piece.service),
-      directory_.SendBefore(leaf)});
+      selector_.Limit(leaf, piece.service->max_connections, now),
+      MayKeepIdle(*piece.service), directory_.SendBefore(leaf)});
 }
 
 /** Sends a late part to a second leaf that can answer before the deadline. */
@@ -213,13 +139,14 @@
   piece.hedge_at = kNever;
   if (now < started_ + kFirstHedge) return;
   CollectCandidates(pending, piece, now);
-  const leaf_choice choice =
-      ChooseLeaf(candidates_, pending.objective_at - now);
+  const leaf_choice choice = selector_.Choose(pending.objective_at - now);
   if (choice.outcome != choice_outcome::chosen) return;
-  if (now + PredictLatency(candidates_[choice.index]) > pending.deadline)
+  if (now + PredictLatency(selector_.Candidates()[choice.index]) >
+      pending.deadline)
     return;
   // A stalled or leaving leaf is unlikely to help; save the repeat budget.
-  if (candidates_[choice.index].eligibility != leaf_eligibility::healthy)
+  if (selector_.Candidates()[choice.index].eligibility !=
+      leaf_eligibility::healthy)
     return;
   if (!SpendRepeat(pending, piece, repeat_reason::hedge, now)) return;
   ++counters_.hedges;
@@ -284,7 +211,7 @@
   const waiting_part position = QueuePosition(pending, index);
   double parallel = 0;
   duration usual = duration::max();
-  for (const leaf_candidate& candidate : candidates_) {
+  for (const leaf_candidate& candidate : selector_.Candidates()) {
     if (candidate.eligibility == leaf_eligibility::unusable) continue;
     parallel += std::min(candidate.limit, candidate.slots);
     usual = std::min(usual, candidate.expected);
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "gateway/admission/part_queue.h"
 #include "gateway/gateway.h"
-#include "gateway/part_queue.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "core/time_type.h"
-#include "gateway/connection_share.h"
+#include "gateway/leafs/connection_share.h"
+#include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
-#include "gateway/registry_type.h"
-#include "gateway/routing_type.h"
+#include "gateway/routing/routing_type.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/clock_gap.cpp
+++ b/packages/gateway/hosts/clock_gap.cpp
@@ -5,7 +5,7 @@
  * been closed without notice.
  */
 
-#include "gateway/clock_gap.h"
+#include "gateway/hosts/clock_gap.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/entry_choice.cpp
+++ b/packages/gateway/hosts/entry_choice.cpp
@@ -13,7 +13,7 @@
  * assumed to start, and its strongest hosts are named.
  */
 
-#include "gateway/entry_choice.h"
+#include "gateway/hosts/entry_choice.h"
 
 #include <algorithm>
 
--- a/packages/gateway/fleet_view.cpp
+++ b/packages/gateway/hosts/fleet_view.cpp
@@ -7,7 +7,7 @@
  * each zone is therefore assumed to have its minimum number of entry hosts.
  */
 
-#include "gateway/fleet_view.h"
+#include "gateway/hosts/fleet_view.h"
 
 #include <algorithm>
 #include <set>
--- a/packages/gateway/fleet_view.h
+++ b/packages/gateway/hosts/fleet_view.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "core/member_type.h"
-#include "gateway/entry_choice.h"
 #include "gateway/gateway_type.h"
-#include "gateway/route_stats.h"
+#include "gateway/hosts/entry_choice.h"
+#include "gateway/routing/route_stats.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/load_signal.cpp
+++ b/packages/gateway/hosts/load_signal.cpp
@@ -1,6 +1,6 @@
 /** @file load_signal.cpp Exponential moving average of processor use. */
 
-#include "gateway/load_signal.h"
+#include "gateway/hosts/load_signal.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/gateway/stop_timing.cpp
+++ b/packages/gateway/hosts/stop_timing.cpp
@@ -6,7 +6,7 @@
  * enough that the others can end, and answers what is left before it exits.
  */
 
-#include "gateway/stop_timing.h"
+#include "gateway/hosts/stop_timing.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/answer_kind.cpp
+++ b/packages/gateway/leafs/answer_kind.cpp
@@ -1,6 +1,6 @@
 /** @file answer_kind.cpp Rules that classify answers. */
 
-#include "gateway/answer_kind.h"
+#include "gateway/leafs/answer_kind.h"
 
 #include "gateway/http_status.h"
 
--- a/packages/gateway/concurrency_window.cpp
+++ b/packages/gateway/leafs/concurrency_window.cpp
@@ -7,7 +7,7 @@
  * hosts, which order them by rank and refuse them in time.
  */
 
-#include "gateway/concurrency_window.h"
+#include "gateway/leafs/concurrency_window.h"
 
 #include <algorithm>
 
--- a/packages/gateway/connection_share.cpp
+++ b/packages/gateway/leafs/connection_share.cpp
@@ -1,6 +1,6 @@
 /** @file connection_share.cpp Shares of the connections of a leaf. */
 
-#include "gateway/connection_share.h"
+#include "gateway/leafs/connection_share.h"
 
 #include <algorithm>
 
--- a/packages/gateway/connection_warmup.cpp
+++ b/packages/gateway/leafs/connection_warmup.cpp
@@ -7,11 +7,11 @@
  * handshakes instead of requests. A starting host connects on demand only.
  */
 
-#include "gateway/connection_warmup.h"
+#include "gateway/leafs/connection_warmup.h"
 
 #include <algorithm>
 
-#include "gateway/connection_share.h"
+#include "gateway/leafs/connection_share.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/leaf_choice.cpp
+++ b/packages/gateway/leafs/leaf_choice.cpp
@@ -8,7 +8,7 @@
  * on time: a query over many shards is no earlier for one part that is.
  */
 
-#include "gateway/leaf_choice.h"
+#include "gateway/leafs/leaf_choice.h"
 
 #include <algorithm>
 
--- a/packages/gateway/leaf_departure.cpp
+++ b/packages/gateway/leafs/leaf_departure.cpp
@@ -1,6 +1,6 @@
 /** @file leaf_departure.cpp Evidence of a departure. */
 
-#include "gateway/leaf_departure.h"
+#include "gateway/leafs/leaf_departure.h"
 
 #include <algorithm>
 
--- a/packages/gateway/leaf_directory.cpp
+++ b/packages/gateway/leafs/leaf_directory.cpp
@@ -1,6 +1,6 @@
 /** @file leaf_directory.cpp Registration, restart and removal of leafs. */
 
-#include "gateway/leaf_directory.h"
+#include "gateway/leafs/leaf_directory.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/gateway/leaf_directory.h
+++ b/packages/gateway/leafs/leaf_directory.h
@@ -11,11 +11,11 @@
 #include <vector>
 
 #include "core/time_type.h"
-#include "gateway/leaf_choice.h"
-#include "gateway/leaf_memory.h"
-#include "gateway/leaf_state.h"
+#include "gateway/leafs/leaf_choice.h"
+#include "gateway/leafs/leaf_memory.h"
+#include "gateway/leafs/leaf_state.h"
+#include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
-#include "gateway/registry_type.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/leaf_memory.cpp
+++ b/packages/gateway/leafs/leaf_memory.cpp
@@ -1,6 +1,6 @@
 /** @file leaf_memory.cpp Bounded memory of lapsed registrations. */
 
-#include "gateway/leaf_memory.h"
+#include "gateway/leafs/leaf_memory.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/gateway/leaf_memory.h
+++ b/packages/gateway/leafs/leaf_memory.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "core/time_type.h"
-#include "gateway/leaf_state.h"
+#include "gateway/leafs/leaf_state.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/leaf_monitor.cpp
+++ b/packages/gateway/leafs/leaf_monitor.cpp
@@ -1,6 +1,6 @@
 /** @file leaf_monitor.cpp Latency and failure averages, stalls and ejection. */
 
-#include "gateway/leaf_monitor.h"
+#include "gateway/leafs/leaf_monitor.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/gateway/leaf_monitor.h
+++ b/packages/gateway/leafs/leaf_monitor.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/time_type.h"
-#include "gateway/concurrency_window.h"
+#include "gateway/leafs/concurrency_window.h"
 #include "gateway/message_type.h"
 
 namespace corianderrail::gateway {
--- /dev/null
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -0,0 +1,80 @@
+/** @file leaf_selector.h Leafs that may get a part of a request. */
+
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "core/time_type.h"
+#include "gateway/gateway_type.h"
+#include "gateway/leafs/leaf_choice.h"
+#include "gateway/leafs/leaf_directory.h"
+#include "gateway/routing/route_stats.h"
+#include "gateway/routing/routing_type.h"
+
+namespace corianderrail::gateway {
+
+/** A part of a request that needs a leaf. */
+struct leaf_query {
+  std::string_view service;        ///< Service whose leafs may run the part.
+  const route* matched = nullptr;  ///< Route of the request; never null.
+  const route_stats* stats = nullptr;  ///< Latencies of the route; never null.
+  std::span<const leaf_handle> asked;  ///< Leafs that already got the part.
+  time_point objective_at{};          ///< When the latency objective is missed.
+  std::uint32_t max_connections = 0;  ///< Of the service, for all hosts.
+  std::uint32_t reserve = 0;  ///< Open requests allowed beyond the limit.
+};
+
+/**
+ * Builds the candidates for each way to a leaf: first choice, repeat, hedge and
+ * parts that waited. Whatever forbids or limits a leaf takes effect here.
+ */
+class leaf_selector {
+ public:
+  leaf_selector(location here, leaf_directory& directory);
+
+  /** @param started Time of the first event of this process. */
+  void SetStarted(time_point started) { started_ = started; }
+  void SetFleet(const fleet_event& fleet) { fleet_ = fleet; }
+
+  /** Replaces the candidates by those for a part. */
+  void Collect(const leaf_query& query, time_point now);
+
+  /** Selects one of the candidates. */
+  leaf_choice Choose(duration time_left) const;
+
+  std::span<const leaf_candidate> Candidates() const { return candidates_; }
+
+  /** Leaf of a candidate. */
+  leaf_state& Leaf(std::size_t index) const { return *leafs_[index]; }
+
+  /** Predicted latency of the best other candidate; 0 without one. */
+  duration NextBestLatency(std::size_t chosen) const;
+
+  /** True when a leaf of a service may get requests of a route. */
+  bool HasUsable(std::string_view service, const route& matched,
+                 time_point now) const;
+
+  /** Maximum open requests of this host at a leaf. */
+  std::uint32_t Limit(const leaf_state& leaf, std::uint32_t max_connections,
+                      time_point now) const;
+
+  leaf_distance DistanceOf(const leaf_state& leaf) const;
+
+ private:
+  leaf_candidate CandidateFor(const leaf_state& leaf, const leaf_query& query,
+                              time_point now) const;
+  leaf_eligibility Eligibility(const leaf_state& leaf, const route& matched,
+                               time_point now, duration work) const;
+
+  location here_;
+  leaf_directory& directory_;
+  fleet_event fleet_;     ///< Latest size of the fleet.
+  time_point started_{};  ///< Time of the first event of this process.
+  std::vector<leaf_candidate> candidates_;
+  std::vector<leaf_state*> leafs_;  ///< Leaf of each candidate.
+};
+
+}  // namespace corianderrail::gateway
--- a/packages/gateway/leaf_state.h
+++ b/packages/gateway/leafs/leaf_state.h
@@ -4,10 +4,10 @@
 
 #include <string>
 
-#include "gateway/leaf_departure.h"
-#include "gateway/leaf_monitor.h"
+#include "gateway/leafs/leaf_departure.h"
+#include "gateway/leafs/leaf_monitor.h"
+#include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
-#include "gateway/registry_type.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/route_stats.cpp
+++ b/packages/gateway/routing/route_stats.cpp
@@ -1,6 +1,6 @@
 /** @file route_stats.cpp Quantiles by zone, with estimates for new routes. */
 
-#include "gateway/route_stats.h"
+#include "gateway/routing/route_stats.h"
 
 #include <algorithm>
 
--- a/packages/gateway/route_stats.h
+++ b/packages/gateway/routing/route_stats.h
@@ -8,8 +8,8 @@
 
 #include "core/latency_digest.h"
 #include "core/time_type.h"
-#include "gateway/client_delay.h"
-#include "gateway/weighted_round_robin.h"
+#include "gateway/admission/client_delay.h"
+#include "gateway/routing/weighted_round_robin.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/route_table.cpp
+++ b/packages/gateway/routing/route_table.cpp
@@ -1,6 +1,6 @@
 /** @file route_table.cpp Longest-prefix match over the routes of a host. */
 
-#include "gateway/route_table.h"
+#include "gateway/routing/route_table.h"
 
 #include <utility>
 
--- a/packages/gateway/route_table.h
+++ b/packages/gateway/routing/route_table.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "gateway/routing_type.h"
+#include "gateway/routing/routing_type.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/weighted_round_robin.cpp
+++ b/packages/gateway/routing/weighted_round_robin.cpp
@@ -1,6 +1,6 @@
 /** @file weighted_round_robin.cpp Smooth weighted round robin. */
 
-#include "gateway/weighted_round_robin.h"
+#include "gateway/routing/weighted_round_robin.h"
 
 #include <algorithm>
 
--- a/packages/gateway/weighted_round_robin.h
+++ b/packages/gateway/routing/weighted_round_robin.h
@@ -6,7 +6,7 @@
 #include <span>
 #include <vector>
 
-#include "gateway/routing_type.h"
+#include "gateway/routing/routing_type.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/lag_detector.cpp
+++ b/packages/gateway/store/lag_detector.cpp
@@ -1,6 +1,6 @@
 /** @file lag_detector.cpp Overdue changes. */
 
-#include "gateway/lag_detector.h"
+#include "gateway/store/lag_detector.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/source_choice.cpp
+++ b/packages/gateway/store/source_choice.cpp
@@ -12,7 +12,7 @@
  * items count as a failure.
  */
 
-#include "gateway/source_choice.h"
+#include "gateway/store/source_choice.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/gateway/store_cache.cpp
+++ b/packages/gateway/store/store_cache.cpp
@@ -1,6 +1,6 @@
 /** @file store_cache.cpp Current items and recent removals. */
 
-#include "gateway/store_cache.h"
+#include "gateway/store/store_cache.h"
 
 #include <algorithm>
 
--- a/packages/gateway/store_cache.h
+++ b/packages/gateway/store/store_cache.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/store_type.h"
+#include "gateway/store/store_type.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/store_follower.cpp
+++ b/packages/gateway/store/store_follower.cpp
@@ -6,7 +6,7 @@
  * changes that it lacks.
  */
 
-#include "gateway/store_follower.h"
+#include "gateway/store/store_follower.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/gateway/store_follower.h
+++ b/packages/gateway/store/store_follower.h
@@ -10,7 +10,7 @@
 
 #include "core/random.h"
 #include "core/time_type.h"
-#include "gateway/store_type.h"
+#include "gateway/store/store_type.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/store_probe.cpp
+++ b/packages/gateway/store/store_probe.cpp
@@ -1,6 +1,6 @@
 /** @file store_probe.cpp Pauses and timeouts of probes. */
 
-#include "gateway/store_probe.h"
+#include "gateway/store/store_probe.h"
 
 #include <algorithm>
 
--- a/packages/gateway/store_reader.cpp
+++ b/packages/gateway/store/store_reader.cpp
@@ -1,6 +1,6 @@
 /** @file store_reader.cpp Reads of the store or of a peer. */
 
-#include "gateway/store_reader.h"
+#include "gateway/store/store_reader.h"
 
 #include <utility>
 
--- a/packages/gateway/store_reader.h
+++ b/packages/gateway/store/store_reader.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "core/member_type.h"
-#include "gateway/source_choice.h"
-#include "gateway/store_follower.h"
-#include "gateway/store_probe.h"
+#include "gateway/store/source_choice.h"
+#include "gateway/store/store_follower.h"
+#include "gateway/store/store_probe.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/tests/byte_budget_test.cpp
+++ b/packages/gateway/tests/byte_budget_test.cpp
@@ -1,6 +1,6 @@
 /** @file byte_budget_test.cpp Who gives way when messages fill the memory. */
 
-#include "gateway/byte_budget.h"
+#include "gateway/admission/byte_budget.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/packages/gateway/tests/connection_test.cpp
+++ b/packages/gateway/tests/connection_test.cpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "flood_simulation.h"
-#include "gateway/connection_warmup.h"
-#include "gateway/fleet_view.h"
+#include "gateway/hosts/fleet_view.h"
+#include "gateway/leafs/connection_warmup.h"
 #include "gateway_fixture.h"
 
 namespace corianderrail::gateway {
--- a/packages/gateway/tests/fleet_test.cpp
+++ b/packages/gateway/tests/fleet_test.cpp
@@ -8,12 +8,12 @@
 #include <vector>
 
 #include "core/host_address.h"
-#include "gateway/clock_gap.h"
-#include "gateway/connection_share.h"
-#include "gateway/entry_choice.h"
-#include "gateway/lag_detector.h"
-#include "gateway/load_signal.h"
-#include "gateway/source_choice.h"
+#include "gateway/hosts/clock_gap.h"
+#include "gateway/hosts/entry_choice.h"
+#include "gateway/hosts/load_signal.h"
+#include "gateway/leafs/connection_share.h"
+#include "gateway/store/lag_detector.h"
+#include "gateway/store/source_choice.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/tests/flood_simulation.cpp
+++ b/packages/gateway/tests/flood_simulation.cpp
@@ -6,7 +6,7 @@
 #include <cmath>
 
 #include "core/host_address.h"
-#include "gateway/fleet_view.h"
+#include "gateway/hosts/fleet_view.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/tests/leaf_memory_test.cpp
+++ b/packages/gateway/tests/leaf_memory_test.cpp
@@ -1,6 +1,6 @@
 /** @file leaf_memory_test.cpp Entries that lapse and return. */
 
-#include "gateway/leaf_memory.h"
+#include "gateway/leafs/leaf_memory.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "core/random.h"
-#include "gateway/leaf_directory.h"
+#include "gateway/leafs/leaf_directory.h"
 #include "gateway_fixture.h"
 
 namespace corianderrail::gateway {
--- a/packages/gateway/tests/placement_test.cpp
+++ b/packages/gateway/tests/placement_test.cpp
@@ -4,17 +4,17 @@
 #include <chrono>
 #include <vector>
 
-#include "gateway/answer_kind.h"
-#include "gateway/answer_stats.h"
-#include "gateway/answer_timing.h"
-#include "gateway/hedge_timing.h"
-#include "gateway/leaf_choice.h"
-#include "gateway/leaf_monitor.h"
-#include "gateway/record_merge.h"
-#include "gateway/repeat_budget.h"
-#include "gateway/route_table.h"
-#include "gateway/store_cache.h"
-#include "gateway/weighted_round_robin.h"
+#include "gateway/admission/answer_stats.h"
+#include "gateway/admission/answer_timing.h"
+#include "gateway/admission/hedge_timing.h"
+#include "gateway/admission/record_merge.h"
+#include "gateway/admission/repeat_budget.h"
+#include "gateway/leafs/answer_kind.h"
+#include "gateway/leafs/leaf_choice.h"
+#include "gateway/leafs/leaf_monitor.h"
+#include "gateway/routing/route_table.h"
+#include "gateway/routing/weighted_round_robin.h"
+#include "gateway/store/store_cache.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/tests/queueing_test.cpp
+++ b/packages/gateway/tests/queueing_test.cpp
@@ -4,9 +4,9 @@
 #include <chrono>
 #include <vector>
 
-#include "gateway/concurrency_window.h"
-#include "gateway/load_shedding.h"
-#include "gateway/part_queue.h"
+#include "gateway/admission/load_shedding.h"
+#include "gateway/admission/part_queue.h"
+#include "gateway/leafs/concurrency_window.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/tests/stop_test.cpp
+++ b/packages/gateway/tests/stop_test.cpp
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <vector>
 
-#include "gateway/stop_timing.h"
+#include "gateway/hosts/stop_timing.h"
 #include "gateway_fixture.h"
 
 namespace corianderrail::gateway {
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -1,6 +1,6 @@
 /** @file store_follower_test.cpp Listing and watching a prefix under faults. */
 
-#include "gateway/store_follower.h"
+#include "gateway/store/store_follower.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
--- a/packages/gateway/tests/store_probe_test.cpp
+++ b/packages/gateway/tests/store_probe_test.cpp
@@ -1,12 +1,12 @@
 /** @file store_probe_test.cpp When a lost store is probed. */
 
-#include "gateway/store_probe.h"
+#include "gateway/store/store_probe.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 
-#include "gateway/store_reader.h"
+#include "gateway/store/store_reader.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/tests/store_simulation.cpp
+++ b/packages/gateway/tests/store_simulation.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "core/host_address.h"
-#include "gateway/leaf_directory.h"
+#include "gateway/leafs/leaf_directory.h"
 
 namespace corianderrail::gateway {
 
--- a/packages/gateway/tests/store_simulation.h
+++ b/packages/gateway/tests/store_simulation.h
@@ -11,9 +11,9 @@
 #include <utility>
 #include <vector>
 
-#include "gateway/lag_detector.h"
-#include "gateway/store_cache.h"
-#include "gateway/store_reader.h"
+#include "gateway/store/lag_detector.h"
+#include "gateway/store/store_cache.h"
+#include "gateway/store/store_reader.h"
 
 namespace corianderrail::gateway {
 
--- a/tests/fuzz/configuration_fuzz.cpp
+++ b/tests/fuzz/configuration_fuzz.cpp
@@ -5,7 +5,7 @@
 #include <cstdlib>
 #include <string_view>
 
-#include "gateway/route_table.h"
+#include "gateway/routing/route_table.h"
 #include "platform/config_codec.h"
 
 /** Guards against configurations that crash the process or that leave a route
