Send requests only to leafs in the home regions of their route

The regions are decoded, and leaf_selector::Eligibility checks them for first attempts, retries, hedges, parts of queries and waiting parts. EnoughLeafs uses the same check, so a request that no permitted leaf can serve is refused at once with no_leaf.

--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -171,6 +171,7 @@
     return;
   }
   pending.config = routes_->Shared();
+  pending.homes.Require(HomesOf(pending.config, *pending.matched));
   auto& stats = stats_[pending.matched->name];
   if (!stats) stats = std::make_shared<route_stats>();
   pending.stats = stats;
@@ -199,7 +200,7 @@
       pending.matched->Gathers() ? pending.matched->min_shard_ratio : 1.0;
   for (const part& piece : pending.parts) {
     const bool usable =
-        selector_.HasUsable(piece.service->name, *pending.matched, now);
+        selector_.HasUsable(piece.service->name, pending.homes, now);
     if (usable) ++best_case.answered;
   }
   return IsUseful(best_case);
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -59,6 +59,7 @@
   leaf_query query;
   query.service = piece.service->name;
   query.matched = pending.matched;
+  query.homes = &pending.homes;
   query.stats = pending.stats.get();
   query.asked = piece.asked;
   query.objective_at = pending.objective_at;
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -32,6 +32,7 @@
   client_request_ptr request;
   std::shared_ptr<const routing_config> config;  ///< Keeps `matched` alive.
   const route* matched = nullptr;  ///< Null until the configuration is known.
+  residency homes;                 ///< Regions in which it may run.
   std::shared_ptr<route_stats> stats;  ///< Latencies of its route.
   std::uint64_t arrival = 0;           ///< Sequence number of arrival.
   time_point arrived{};
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -53,17 +53,19 @@
 }
 
 leaf_eligibility leaf_selector::Eligibility(const leaf_state& leaf,
-                                            const route& /*matched*/,
+                                            const residency& homes,
                                             time_point now,
                                             duration work) const {
+  if (!homes.PermitsZone(leaf.record.zone, here_))
+    return leaf_eligibility::unusable;
   return directory_.Eligibility(leaf, now, work);
 }
 
-bool leaf_selector::HasUsable(std::string_view service, const route& matched,
+bool leaf_selector::HasUsable(std::string_view service, const residency& homes,
                               time_point now) const {
   const auto leafs = directory_.LeafsOf(service);
   return std::any_of(leafs.begin(), leafs.end(), [&](const leaf_state* leaf) {
-    return Eligibility(*leaf, matched, now, {}) != leaf_eligibility::unusable;
+    return Eligibility(*leaf, homes, now, {}) != leaf_eligibility::unusable;
   });
 }
 
@@ -74,7 +76,7 @@
   candidate.expected = query.stats->ExpectedLatency(
       leaf.record.zone, here_, query.matched->objective, now);
   candidate.eligibility =
-      Eligibility(leaf, *query.matched, now, candidate.expected);
+      Eligibility(leaf, *query.homes, now, candidate.expected);
   const bool asked = std::find(query.asked.begin(), query.asked.end(),
                                leaf.handle) != query.asked.end();
   if (asked) candidate.eligibility = leaf_eligibility::unusable;
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_type.h"
 #include "gateway/leafs/leaf_choice.h"
 #include "gateway/leafs/leaf_directory.h"
+#include "gateway/routing/residency.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/routing_type.h"
 
@@ -18,8 +19,9 @@
 
 /** A part of a request that needs a leaf. */
 struct leaf_query {
-  std::string_view service;        ///< Service whose leafs may run the part.
-  const route* matched = nullptr;  ///< Route of the request; never null.
+  std::string_view service;          ///< Service whose leafs may run the part.
+  const route* matched = nullptr;    ///< Route of the request; never null.
+  const residency* homes = nullptr;  ///< Of the request; never null.
   const route_stats* stats = nullptr;  ///< Latencies of the route; never null.
   std::span<const leaf_handle> asked;  ///< Leafs that already got the part.
   time_point objective_at{};          ///< When the latency objective is missed.
@@ -53,8 +55,8 @@
   /** Predicted latency of the best other candidate; 0 without one. */
   duration NextBestLatency(std::size_t chosen) const;
 
-  /** True when a leaf of a service may get requests of a route. */
-  bool HasUsable(std::string_view service, const route& matched,
+  /** True when a leaf of a service may get requests with these homes. */
+  bool HasUsable(std::string_view service, const residency& homes,
                  time_point now) const;
 
   /** Maximum open requests of this host at a leaf. */
@@ -66,7 +68,7 @@
  private:
   leaf_candidate CandidateFor(const leaf_state& leaf, const leaf_query& query,
                               time_point now) const;
-  leaf_eligibility Eligibility(const leaf_state& leaf, const route& matched,
+  leaf_eligibility Eligibility(const leaf_state& leaf, const residency& homes,
                                time_point now, duration work) const;
 
   location here_;
--- a/packages/gateway/routing/route_stats.cpp
+++ b/packages/gateway/routing/route_stats.cpp
@@ -40,6 +40,12 @@
   return found != regions.end() && found->second == region;
 }
 
+std::string_view location::RegionOf(std::string_view other_zone) const {
+  const auto found = regions.find(other_zone);
+  if (found != regions.end()) return found->second;
+  return other_zone == zone ? std::string_view(region) : std::string_view();
+}
+
 void route_stats::Add(std::string_view zone, duration latency, time_point now) {
   auto found = by_zone_.find(zone);
   if (found == by_zone_.end()) {
--- a/packages/gateway/routing/route_stats.h
+++ b/packages/gateway/routing/route_stats.h
@@ -21,6 +21,9 @@
       regions;  ///< Region of each known zone.
 
   bool SameRegion(std::string_view other_zone) const;
+
+  /** Region of a zone; empty for a zone that the settings do not contain. */
+  std::string_view RegionOf(std::string_view other_zone) const;
 };
 
 /** Latencies of the answers to one route, and the split over its services. */
--- a/packages/gateway/routing/routing_type.h
+++ b/packages/gateway/routing/routing_type.h
@@ -23,6 +23,9 @@
   double weight = 1;    ///< Share relative to the other services.
 };
 
+/** Names of regions. As home regions, an empty set stands for any region. */
+using region_set = std::vector<std::string>;
+
 /** Rule for the requests with one host name and path prefix. */
 struct route {
   std::string name;    ///< Identifies the route in logs.
@@ -37,6 +40,7 @@
   std::vector<std::string> shards;        ///< Services of a gathered query.
   std::size_t top_records = 0;   ///< Maximum records of a gathered answer.
   double min_shard_ratio = 1.0;  ///< Minimum share of shards for an answer.
+  region_set residency;          ///< Only leafs in these regions may run it.
 
   bool Gathers() const { return !shards.empty(); }
 };
