Evacuate zones, and place again what waits for a forbidden leaf

An item op/evacuate/ZONE must keep every new request off the leafs of ZONE within evacuate_ms, and a newer configuration may narrow the home regions of requests that still wait. Both forbid leafs that were already chosen.

- The keys of the items become an evacuation_event, before the configuration and the leafs of the same update. leafs/evacuation keeps the zones, and when the last evacuation of each ended (EndedAt). leaf_selector excludes their leafs; no connections are opened ahead and no probes sent into them.
They are placed again and are no repeats.
Running calls complete.
- Waiting parts that no leaf may run any more fail at once, so their requests are refused with no_leaf; the others are placed when a zone is back.
- evacuate_ms, if present, bounds the age of items and the longest read with config_propagation_ms.
- Logs zone_evacuated, zone_restored; metrics evacuated_zones, withdrawn_total, arrived_outside_homes_total, leaf_candidates_total by exclusion.

--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -101,6 +101,8 @@
     from.open_calls = core.OpenCalls();
     from.known_leafs = core.Leafs();
     from.version = static_cast<std::uint64_t>(core.Version());
+    from.evacuated_zones = core.Evacuations().Size();
+    from.exclusions = core.Exclusions();
     from.clients = client_server.Counters();
     from.leafs = leafs.Counters();
     from.peers = peers.Counters();
--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -62,6 +62,14 @@
      [](const snapshot& s) { return s.known_leafs; }},
     {"config_version", "gauge", "Version of the configuration in force.",
      [](const snapshot& s) { return s.version; }},
+    {"evacuated_zones", "gauge", "Zones whose leafs get no requests.",
+     [](const snapshot& s) { return s.evacuated_zones; }},
+    {"withdrawn_total", "counter",
+     "Requests to leafs that were withdrawn before they were sent.",
+     [](const snapshot& s) { return s.core.withdrawn; }},
+    {"arrived_outside_homes_total", "counter",
+     "Requests that arrived at a host outside of their home regions.",
+     [](const snapshot& s) { return s.core.arrived_outside_homes; }},
     {"client_connections", "gauge", "Open connections of clients.",
      [](const snapshot& s) { return s.clients.open; }},
     {"client_connections_rejected_total", "counter",
@@ -188,6 +196,20 @@
   }
 }
 
+constexpr std::array<std::string_view, gateway::kLeafExclusions>
+    kExclusionNames = {"none", "residency", "evacuation"};
+
+void AppendExclusions(std::string& text,
+                      const gateway::exclusion_counts& exclusions) {
+  constexpr std::string_view kName = "leaf_candidates_total";
+  AppendMetricHeader(text, kName, "counter",
+                     "Leafs considered for a part of a request, by what "
+                     "excludes them.");
+  for (std::size_t i = 0; i < gateway::kLeafExclusions; ++i) {
+    AppendCause(text, kName, kExclusionNames[i], "", exclusions[i]);
+  }
+}
+
 void AppendStoreFailures(std::string& text,
                          const gateway::store_failure_counts& failures) {
   constexpr std::string_view kName = "store_failures_total";
@@ -235,6 +257,7 @@
                 from.core.refused[i]);
   }
   AppendSends(text, from.core.sends);
+  AppendExclusions(text, from.exclusions);
   AppendStoreCalls(text, from.store_calls);
   AppendStoreFailures(text, from.store_failures);
   AppendAnswerLatencies(text, from.answers);
--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -11,6 +11,7 @@
 #include "edge/peer_link.h"
 #include "gateway/admission/answer_stats.h"
 #include "gateway/gateway_type.h"
+#include "gateway/leafs/leaf_selector.h"
 #include "gateway/store/store_type.h"
 
 namespace corianderrail::edge {
@@ -23,12 +24,14 @@
   std::uint64_t open_calls = 0;      ///< Requests to leafs in flight.
   std::uint64_t known_leafs = 0;     ///< Leafs in the registry.
   std::uint64_t version = 0;         ///< Version of the configuration in force.
-  http_server_counters clients;      ///< Connections of clients.
-  leaf_pool_counters leafs;          ///< Connections to leafs.
-  peer_link_counters peers;          ///< Datagrams between hosts.
-  std::uint64_t members = 0;         ///< Hosts known.
-  gateway::store_read_counts store_calls{};        ///< Reads from the store.
-  std::uint64_t relay_calls = 0;                   ///< Reads from other hosts.
+  std::uint64_t evacuated_zones = 0;         ///< Zones whose leafs get nothing.
+  gateway::exclusion_counts exclusions{};    ///< Candidates that were excluded.
+  http_server_counters clients;              ///< Connections of clients.
+  leaf_pool_counters leafs;                  ///< Connections to leafs.
+  peer_link_counters peers;                  ///< Datagrams between hosts.
+  std::uint64_t members = 0;                 ///< Hosts known.
+  gateway::store_read_counts store_calls{};  ///< Reads from the store.
+  std::uint64_t relay_calls = 0;             ///< Reads from other hosts.
   gateway::store_failure_counts store_failures{};  ///< From either source.
   std::uint64_t store_revision = 0;  ///< All changes up to it were read.
   duration items_age{};  ///< Since the store last confirmed the items.
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -208,9 +208,9 @@
   link.zone = settings.zone;
   link.seed = RandomSeed();
   link.reads.longest_read =
-      gateway::LongestRead(settings.config_propagation, settings.recovery);
+      gateway::LongestRead(settings.Propagation(), settings.recovery);
   link.max_age =
-      gateway::MaxItemAge(settings.config_propagation, settings.leaf_drain);
+      gateway::MaxItemAge(settings.Propagation(), settings.leaf_drain);
   link.members = [this] { return std::span(members); };
   link.on_update = [this](const gateway::store_update& update) {
     // The next read follows whatever becomes of this update.
@@ -242,6 +242,8 @@
 
 void edge_process::state::OnStoreUpdate(const gateway::store_update& update) {
   relay.Publish(update.changes, update.revision, update.confirmed);
+  // First, so that no request is placed before the evacuations are known.
+  OnEvacuations(update);
   for (const gateway::store_item& item : update.changes) {
     if (item.key == platform::kConfigKey && !item.removed) OnConfig(item);
   }
@@ -263,6 +265,18 @@
   client_server.SetLimits(core.Limits());
 }
 
+/** The key alone says which zone is evacuated, whatever the value is. */
+void edge_process::state::OnEvacuations(const gateway::store_update& update) {
+  gateway::evacuation_event event;
+  for (const gateway::store_item& item : update.changes) {
+    if (const auto zone = platform::EvacuatedZone(item.key)) {
+      event.changes.push_back(
+          {std::string(*zone), item.revision, !item.removed});
+    }
+  }
+  if (!event.changes.empty()) Reduce(std::move(event));
+}
+
 void edge_process::state::OnLeafs(const gateway::store_update& update) {
   gateway::registry_event event;
   event.timing = {update.changed_after, update.after_outage};
--- a/packages/edge/edge_reload.cpp
+++ b/packages/edge/edge_reload.cpp
@@ -58,7 +58,7 @@
   ApplyReloadableValues(fresh, settings);
   peers.SetSeeds(settings.seeds);
   store.SetMaxAge(
-      gateway::MaxItemAge(settings.config_propagation, settings.leaf_drain));
+      gateway::MaxItemAge(settings.Propagation(), settings.leaf_drain));
   Reduce(gateway::settings_event{settings.repeat_ratio, settings.repeat_slack,
                                  settings.leaf_drain});
   const decision_input inputs[] = {{"at_next_start", restart_keys}};
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -84,6 +84,9 @@
       from.Integer("repeat_window_s", 1, 3600, presence::optional, 10));
   into.leaf_drain = Milliseconds(from, "leaf_drain_ms", 3000);
   into.config_propagation = Milliseconds(from, "config_propagation_ms", 3000);
+  if (from.Has("evacuate_ms")) {
+    into.evacuate = Milliseconds(from, "evacuate_ms", kMaxMilliseconds);
+  }
   into.recovery = Milliseconds(from, "recovery_ms", 5000);
   into.stop_grace = std::chrono::seconds(
       from.Integer("stop_grace_s", 1, 3600, presence::optional, 6));
@@ -103,6 +106,10 @@
 
 }  // namespace
 
+duration edge_settings::Propagation() const {
+  return std::min(config_propagation, evacuate.value_or(config_propagation));
+}
+
 edge_settings ParseEdgeSettings(std::string_view text,
                                 const std::string& name) {
   fault_list faults(name);
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -46,10 +47,16 @@
   duration leaf_drain = std::chrono::seconds(3);
   /** Time within which a changed configuration must be in force. */
   duration config_propagation = std::chrono::seconds(3);
+  /** Time within which an evacuation must be in force; empty where the platform
+   *  has none. */
+  std::optional<duration> evacuate;
   /** Time within which this host must know all changes after a fault. */
   duration recovery = std::chrono::seconds(5);
   duration stop_grace = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
   std::uint32_t lookup_ttl_s = 1;  ///< Lifetime of a lookup answer.
+
+  /** Time within which any change of the store must be in force. */
+  duration Propagation() const;
 };
 
 /**
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -57,6 +57,9 @@
   void Execute(gateway::stop_sending_effect& effect) {
     leafs.StopSending(effect.leaf, effect.send_before);
   }
+  void Execute(gateway::withdraw_call_effect& effect) {
+    leafs.Withdraw(effect.call);
+  }
   void Execute(gateway::answer_effect& effect);
   void Execute(gateway::log_effect& effect) { log.Write(effect, Now()); }
 
@@ -70,6 +73,7 @@
   void OnStoreUpdate(const gateway::store_update& update);
   void OnConfig(const gateway::store_item& item);
   void OnLeafs(const gateway::store_update& update);
+  void OnEvacuations(const gateway::store_update& update);
   void StartStoreLink();
   void OnMembers();
   void OnMembersChanged();
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -86,6 +86,15 @@
   return best;
 }
 
+/** Removes a request that waits for a connection.
+ *  @return False when no request with this call waits. */
+bool leaf_pool::state::Drop(leaf_call call) {
+  return std::any_of(leafs.begin(), leafs.end(), [&](auto& entry) {
+    return std::erase_if(entry.second.pending,
+                         [&](const auto& one) { return one.call == call; }) > 0;
+  });
+}
+
 /** Fails the pending requests of a leaf that takes no more of them. */
 void leaf_pool::state::Withdraw(leaf& from) {
   if (Now() < from.send_before) return;
@@ -223,11 +232,7 @@
     if (const auto one = found->second.lock()) one->Close();
     return;
   }
-  for (auto& [handle, to] : state_->leafs) {
-    const auto erased = std::erase_if(
-        to.pending, [&](const auto& one) { return one.call == call; });
-    if (erased > 0) return;
-  }
+  state_->Drop(call);
 }
 
 void leaf_pool::Connect(const gateway::connect_leaf_effect& effect) {
@@ -244,7 +249,14 @@
 
 void leaf_pool::StopSending(leaf_handle leaf, time_point send_before) {
   const auto found = state_->leafs.find(leaf);
-  if (found != state_->leafs.end()) found->second.send_before = send_before;
+  if (found == state_->leafs.end()) return;
+  found->second.send_before = send_before;
+  state_->Withdraw(found->second);
+}
+
+void leaf_pool::Withdraw(leaf_call call) {
+  if (state_->busy.contains(static_cast<std::uint64_t>(call))) return;
+  if (state_->Drop(call)) state_->Fail(call, leaf_failure::withdrawn);
 }
 
 void leaf_pool::Disconnect(leaf_handle leaf) {
--- a/packages/edge/leaf_pool.h
+++ b/packages/edge/leaf_pool.h
@@ -51,6 +51,9 @@
    *  connection then fail as withdrawn. kNever lifts the limit. */
   void StopSending(gateway::leaf_handle leaf, time_point send_before);
 
+  /** Fails a request as withdrawn if it still waits for a connection. */
+  void Withdraw(gateway::leaf_call call);
+
   /** Closes the idle connections to a leaf, and each busy one when it becomes
    *  idle. */
   void Disconnect(gateway::leaf_handle leaf);
--- a/packages/edge/leaf_pool_state.h
+++ b/packages/edge/leaf_pool_state.h
@@ -60,6 +60,7 @@
   leaf& Leaf(gateway::leaf_handle handle, const std::string& address);
   void SendPending(gateway::leaf_handle handle);
   void Withdraw(leaf& from);
+  bool Drop(gateway::leaf_call call);
   void Open(gateway::leaf_handle handle, leaf& to);
   void OnOpened(gateway::leaf_handle handle, const connection_ptr& one,
                 open_outcome outcome);
--- a/packages/edge/settings_change.cpp
+++ b/packages/edge/settings_change.cpp
@@ -57,6 +57,7 @@
   running.repeat_ratio = fresh.repeat_ratio;
   running.repeat_slack = fresh.repeat_slack;
   running.leaf_drain = fresh.leaf_drain;
+  running.evacuate = fresh.evacuate;
   running.stop_grace = fresh.stop_grace;
   running.lookup_ttl_s = fresh.lookup_ttl_s;
 }
--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -34,6 +34,8 @@
         {"leaf_delisted", 10, 200},
         {"leaf_leaving", 10, 200},
         {"config_in_force", 5, 20},
+        {"zone_evacuated", 1, 20},
+        {"zone_restored", 1, 20},
     }};
 
 }  // namespace corianderrail::edge
--- a/packages/edge/tests/edge_metrics_test.cpp
+++ b/packages/edge/tests/edge_metrics_test.cpp
@@ -31,6 +31,7 @@
   const auto stopping =
       static_cast<std::size_t>(gateway::refusal_cause::stopping);
   snapshot.core.refused[stopping] = 5;
+  snapshot.exclusions = {9, 8, 6};
   const std::string text = MetricsText(snapshot);
   const std::string prefix = "corianderrail_edge_";
   for (const char* line :
@@ -40,6 +41,8 @@
         "store_calls_total{cause=\"watch\"} 2",
         "store_failures_total{cause=\"unreachable\"} 4",
         "store_failures_total{cause=\"too_large\"} 6",
+        "leaf_candidates_total{cause=\"residency\"} 8",
+        "leaf_candidates_total{cause=\"evacuation\"} 6",
         "refused_total{cause=\"stopping\"} 5"}) {
     INFO(line);
     CHECK(CountLine(text, prefix + line) == 1);
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -96,6 +96,24 @@
   CHECK(running.stop_grace == std::chrono::seconds(9));
 }
 
+// Guards against items that may be older than an evacuation must be in force,
+// and against other limits where the platform has no evacuations.
+TEST_CASE("Settings_EvacuateTime_BoundsThePropagation") {
+  const auto without = ParseEdgeSettings(CompleteSettings(), "f.toml");
+  CHECK_FALSE(without.evacuate);
+  CHECK(without.Propagation() == without.config_propagation);
+  const auto with = [](const std::string& time) {
+    return ParseEdgeSettings(
+        "evacuate_ms = " + time + "\n" + CompleteSettings(), "f.toml");
+  };
+  CHECK(with("900").Propagation() == std::chrono::milliseconds(900));
+  CHECK(with("5000").Propagation() == without.config_propagation);
+  edge_settings running = without;
+  ApplyReloadableValues(with("900"), running);
+  CHECK(running.Propagation() == std::chrono::milliseconds(900));
+  CHECK(Faults("evacuate_ms = 0\n").find("evacuate_ms") != std::string::npos);
+}
+
 // Guards against changed values that are ignored until a restart without being
 // reported.
 TEST_CASE("Settings_AddressesChange_AreNamedForTheNextStart") {
--- a/packages/edge/tests/leaf_pool_test.cpp
+++ b/packages/edge/tests/leaf_pool_test.cpp
@@ -444,6 +444,35 @@
   CHECK(Failure(4) == leaf_failure::withdrawn);
 }
 
+// Guards against requests that are written to an evacuated leaf until the next
+// check of the pool, and against a leaf that gets none after the evacuation.
+TEST_CASE_METHOD(pool_fixture, "Pool_LeafStopsNow_WithdrawsAtOnce") {
+  Send("a");
+  Send("b");
+  Send("c");
+  pool_.StopSending(gateway::leaf_handle{1}, Now());
+  Run();
+  CHECK(Failure(3) == leaf_failure::withdrawn);
+  pool_.StopSending(gateway::leaf_handle{1}, kNever);
+  script_ = {{Answer("d", "4")}};
+  Send("d", true, 2);
+  CHECK(Outcome(4) == "4");
+}
+
+// Guards against a request that is written although its region was forbidden
+// while it waited, and against cutting one that was sent.
+TEST_CASE_METHOD(pool_fixture, "Pool_CallsWithdrawn_OnlyUnsentOnesFail") {
+  for (const char* attempt : {"a", "b", "c", "d"}) Send(attempt);
+  for (std::uint64_t call = 1; call <= 3; ++call) {
+    pool_.Withdraw(gateway::leaf_call{call});
+  }
+  pool_.Withdraw(gateway::leaf_call{9});
+  Run();
+  CHECK(Failure(3) == leaf_failure::withdrawn);
+  for (const std::uint64_t call : {1, 2, 4}) CHECK(Outcome(call).empty());
+  CHECK(pool_.Counters().open == 2);
+}
+
 // Guards against a statement of a leaf that is lost between the wire and the
 // rules.
 TEST_CASE_METHOD(pool_fixture, "Pool_LeafSaysItLeaves_IsPassedOn") {
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -35,7 +35,7 @@
 gateway::gateway(gateway_settings settings)
     : settings_(std::move(settings)),
       directory_(settings_.leafs),
-      selector_(settings_.here, directory_) {
+      selector_(settings_.here, directory_, evacuations_) {
   slack_share_ = settings_.repeats.slack;
 }
 
@@ -152,7 +152,7 @@
 void gateway::OnStatedLeaving(leaf_state& leaf, time_point now) {
   if (!leaf.departure.OnStatedLeaving()) return;
   LimitSending(leaf);
-  const time_point send_before = directory_.SendBefore(leaf);
+  const time_point send_before = SendBefore(leaf);
   effects_->push_back(
       log_effect{decision::leaf_leaving,
                  leaf.record.instance,
@@ -162,10 +162,10 @@
                   {"left_us", std::to_string((send_before - now).count())}}});
 }
 
-/** Withdraws the requests to a leaving leaf that wait for a connection once
- *  their time is over. */
+/** Withdraws the requests to a leaving or evacuated leaf that wait for a
+ *  connection once their time is over. */
 void gateway::LimitSending(const leaf_state& leaf) {
-  const time_point send_before = directory_.SendBefore(leaf);
+  const time_point send_before = SendBefore(leaf);
   effects_->push_back(stop_sending_effect{leaf.handle, send_before});
 }
 
@@ -175,7 +175,8 @@
   if (found == calls_.end()) return;
   const open_request call = found->second;
   calls_.erase(found);
-  if (input.failure != leaf_failure::withdrawn) ++counters_.leaf_failures;
+  ++(input.failure == leaf_failure::withdrawn ? counters_.withdrawn
+                                              : counters_.leaf_failures);
   CheckSoon(now);
   if (leaf_state* leaf = directory_.Find(call.leaf)) {
     const bool before = leaf->monitor.OnProbation();
@@ -236,11 +237,13 @@
     if (!before.contains(service)) WarmUp(service);
   }
   next_check_ = std::min(next_check_, now);
+  const std::size_t narrowed = NarrowOpenRequests(now);
   effects_->push_back(log_effect{
       decision::config_in_force,
       std::to_string(static_cast<std::uint64_t>(input.config->version)),
       {{"routes", std::to_string(input.config->routes.size())},
-       {"services", std::to_string(input.config->services.size())}}});
+       {"services", std::to_string(input.config->services.size())},
+       {"narrowed", std::to_string(narrowed)}}});
   BeginUnrouted(now);
 }
 
@@ -350,11 +353,7 @@
   });
   // Leafs at their connection limit may accept connections again, without an
   // answer that would start the waiting parts.
-  std::vector<service_state*> waiting;
-  for (const auto& [name, service] : services_) {
-    if (!service->queue.Empty()) waiting.push_back(service.get());
-  }
-  for (service_state* service : waiting) DispatchWaiting(*service, now);
+  DispatchAllWaiting(now);
   return probes;
 }
 
@@ -420,6 +419,7 @@
 
 void gateway::Connect(leaf_state& leaf) {
   if (leaf.connecting || leaf.departure.Since()) return;
+  if (evacuations_.Covers(leaf.record.zone)) return;
   leaf.connecting = true;
   effects_->push_back(connect_leaf_effect{leaf.handle, leaf.record.address});
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/admission/repeat_budget.h"
 #include "gateway/gateway_type.h"
 #include "gateway/leafs/connection_warmup.h"
+#include "gateway/leafs/evacuation.h"
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/leafs/leaf_selector.h"
 #include "gateway/routing/route_stats.h"
@@ -67,6 +68,8 @@
   std::size_t OpenExchanges() const { return exchanges_.size(); }
   std::size_t OpenCalls() const { return calls_.size(); }
   std::size_t Leafs() const { return directory_.Size(); }
+  const evacuation& Evacuations() const { return evacuations_; }
+  const exclusion_counts& Exclusions() const { return selector_.Exclusions(); }
 
  private:
   struct part;
@@ -94,6 +97,7 @@
   void On(fleet_event& input, time_point now);
   void On(settings_event& input, time_point now);
   void On(leaving_event& input, time_point now);
+  void On(evacuation_event& input, time_point now);
   void On(stop_event& input, time_point now);
   void On(wake_event& input, time_point now);
   void OnTimer(const timer& due, time_point now);
@@ -134,6 +138,14 @@
   void LogRepeat(const exchange& pending, const part& piece,
                  repeat_reason reason, time_point now);
 
+  // gateway_restrictions.cpp
+  void OnZoneChanged(const evacuation_change& change);
+  time_point SendBefore(const leaf_state& leaf) const;
+  std::size_t NarrowOpenRequests(time_point now);
+  void WithdrawForbidden(const exchange& pending, leaf_call call);
+  void RecheckWaiting(std::vector<std::uint64_t> exchanges, time_point now);
+  void DispatchAllWaiting(time_point now);
+
   // gateway_answers.cpp
   void Advance(std::uint64_t id, time_point now);
   void WaitForConfiguration(exchange& pending, time_point now);
@@ -160,7 +172,8 @@
   gateway_settings settings_;
   std::unique_ptr<route_table> routes_;
   leaf_directory directory_;
-  leaf_selector selector_;  ///< Reads directory_.
+  evacuation evacuations_;
+  leaf_selector selector_;  ///< Reads directory_ and evacuations_.
   fleet_event fleet_;       ///< Latest size of the fleet.
   double slack_share_ = 0;  ///< Repeats of this host per window.
   bool registry_complete_ = false;
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -172,6 +172,8 @@
   }
   pending.config = routes_->Shared();
   pending.homes.Require(HomesOf(pending.config, *pending.matched));
+  if (!pending.homes.PermitsRegion(settings_.here.region))
+    ++counters_.arrived_outside_homes;
   auto& stats = stats_[pending.matched->name];
   if (!stats) stats = std::make_shared<route_stats>();
   pending.stats = stats;
@@ -450,6 +452,7 @@
       pending.request->attempt,
       {{"cause", std::string(RefusalName(cause))},
        {"route", pending.matched == nullptr ? "" : pending.matched->name},
+       {"homes", pending.homes.Names()},
        {"version", std::to_string(static_cast<std::uint64_t>(Version()))},
        {"status", std::to_string(answer.status)},
        {"elapsed_us", Micros(now - pending.arrived)},
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -131,7 +131,7 @@
       call, leaf.handle, leaf.record.address, leaf.record.instance,
       pending.request, pending.deadline - now, pending.Idempotent(),
       selector_.Limit(leaf, piece.service->max_connections, now),
-      MayKeepIdle(*piece.service), directory_.SendBefore(leaf)});
+      MayKeepIdle(*piece.service), SendBefore(leaf)});
 }
 
 /** Sends a late part to a second leaf that can answer before the deadline. */
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -12,6 +12,7 @@
 
 #include "core/time_type.h"
 #include "gateway/leafs/connection_share.h"
+#include "gateway/leafs/evacuation.h"
 #include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
 #include "gateway/routing/routing_type.h"
@@ -59,6 +60,11 @@
   registry_timing timing;  ///< When the changes were made.
 };
 
+/** Evacuations of zones began or ended. */
+struct evacuation_event {
+  std::vector<evacuation_change> changes;  ///< Ordered by revision.
+};
+
 /** Whether the first configuration and registry can be read now. */
 struct startup_event {
   bool delayed = false;  ///< Neither the store nor a peer has answered.
@@ -97,7 +103,7 @@
     std::variant<request_event, client_disconnected_event, leaf_answer_event,
                  leaf_failure_event, leaf_connected_event, config_event,
                  registry_event, startup_event, fleet_event, settings_event,
-                 leaving_event, stop_event, wake_event>;
+                 leaving_event, evacuation_event, stop_event, wake_event>;
 
 /** Sends a request to a leaf. */
 struct send_leaf_effect {
@@ -132,10 +138,16 @@
 /** From a time on, sends no request to a leaf: those that still wait for a
  *  connection fail as withdrawn. */
 struct stop_sending_effect {
-  leaf_handle leaf{};        ///< The leaving leaf.
+  leaf_handle leaf{};        ///< A leaf that leaves or is evacuated.
   time_point send_before{};  ///< No request is sent from this time on.
 };
 
+/** Withdraws a request that still waits for a connection: it fails as
+ *  withdrawn. A request of which bytes were sent continues. */
+struct withdraw_call_effect {
+  leaf_call call{};  ///< From send_leaf_effect.
+};
+
 /** Answers a client. */
 struct answer_effect {
   exchange_id exchange{};  ///< From request_event.
@@ -157,8 +169,10 @@
   leaf_delisted,    ///< The registry removed a leaf, or it is draining.
   leaf_leaving,     ///< A leaf stated in an answer that it will stop.
   config_in_force,  ///< A newer configuration became active.
+  zone_evacuated,   ///< The evacuation of a zone began.
+  zone_restored,    ///< The evacuation of a zone ended.
 };
-inline constexpr std::size_t kDecisions = 13;
+inline constexpr std::size_t kDecisions = 15;
 
 /** One value that a decision was based on. */
 struct decision_input {
@@ -173,9 +187,10 @@
   std::vector<decision_input> inputs;  ///< Values that led to it.
 };
 
-using effect = std::variant<send_leaf_effect, cancel_leaf_effect,
-                            connect_leaf_effect, disconnect_leaf_effect,
-                            stop_sending_effect, answer_effect, log_effect>;
+using effect =
+    std::variant<send_leaf_effect, cancel_leaf_effect, connect_leaf_effect,
+                 disconnect_leaf_effect, stop_sending_effect,
+                 withdraw_call_effect, answer_effect, log_effect>;
 using effect_list = std::vector<effect>;
 
 /** Why a request is sent to a leaf. */
@@ -205,7 +220,10 @@
   std::uint64_t repeats_denied = 0;  ///< Repeats denied by the budget.
   std::uint64_t leaf_sheds =
       0;  ///< Answers of leafs that did not run the request.
-  std::uint64_t leaf_failures = 0;             ///< Failed leaf requests.
+  std::uint64_t leaf_failures = 0;  ///< Failed leaf requests.
+  std::uint64_t withdrawn = 0;      ///< Leaf requests withdrawn before sending.
+  std::uint64_t arrived_outside_homes =
+      0;  ///< Requests whose home regions do not include this host's.
   std::uint64_t queued = 0;                    ///< Parts that were queued.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -17,8 +17,11 @@
 
 }  // namespace
 
-leaf_selector::leaf_selector(location here, leaf_directory& directory)
-    : here_(std::move(here)), directory_(directory) {}
+leaf_selector::leaf_selector(location here, leaf_directory& directory,
+                             const evacuation& evacuations)
+    : here_(std::move(here)),
+      directory_(directory),
+      evacuations_(evacuations) {}
 
 std::uint32_t leaf_selector::Limit(const leaf_state& leaf,
                                    std::uint32_t max_connections,
@@ -52,11 +55,19 @@
                                             : leaf_distance::other;
 }
 
+leaf_exclusion leaf_selector::ExclusionOf(const leaf_state& leaf,
+                                          const residency& homes) const {
+  const std::string& zone = leaf.record.zone;
+  if (evacuations_.Covers(zone)) return leaf_exclusion::evacuation;
+  return homes.PermitsZone(zone, here_) ? leaf_exclusion::none
+                                        : leaf_exclusion::residency;
+}
+
 leaf_eligibility leaf_selector::Eligibility(const leaf_state& leaf,
                                             const residency& homes,
                                             time_point now,
                                             duration work) const {
-  if (!homes.PermitsZone(leaf.record.zone, here_))
+  if (ExclusionOf(leaf, homes) != leaf_exclusion::none)
     return leaf_eligibility::unusable;
   return directory_.Eligibility(leaf, now, work);
 }
@@ -106,6 +117,7 @@
   leafs_.clear();
   for (leaf_state* leaf : directory_.LeafsOf(query.service)) {
     candidates_.push_back(CandidateFor(*leaf, query, now));
+    ++exclusions_[static_cast<std::size_t>(ExclusionOf(*leaf, *query.homes))];
     leafs_.push_back(leaf);
   }
 }
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string_view>
@@ -9,6 +11,7 @@
 
 #include "core/time_type.h"
 #include "gateway/gateway_type.h"
+#include "gateway/leafs/evacuation.h"
 #include "gateway/leafs/leaf_choice.h"
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/routing/residency.h"
@@ -29,13 +32,25 @@
   std::uint32_t reserve = 0;  ///< Open requests allowed beyond the limit.
 };
 
+/** Why a leaf may not get a part, whatever its own state is. */
+enum class leaf_exclusion : std::uint8_t {
+  none,
+  residency,   ///< Outside of the home regions.
+  evacuation,  ///< In an evacuated zone.
+};
+inline constexpr std::size_t kLeafExclusions = 3;
+
+/** Number of excluded candidates by leaf_exclusion. */
+using exclusion_counts = std::array<std::uint64_t, kLeafExclusions>;
+
 /**
  * Builds the candidates for each way to a leaf: first choice, repeat, hedge and
  * parts that waited. Whatever forbids or limits a leaf takes effect here.
  */
 class leaf_selector {
  public:
-  leaf_selector(location here, leaf_directory& directory);
+  leaf_selector(location here, leaf_directory& directory,
+                const evacuation& evacuations);
 
   /** @param started Time of the first event of this process. */
   void SetStarted(time_point started) { started_ = started; }
@@ -65,18 +80,24 @@
 
   leaf_distance DistanceOf(const leaf_state& leaf) const;
 
+  const exclusion_counts& Exclusions() const { return exclusions_; }
+
  private:
   leaf_candidate CandidateFor(const leaf_state& leaf, const leaf_query& query,
                               time_point now) const;
+  leaf_exclusion ExclusionOf(const leaf_state& leaf,
+                             const residency& homes) const;
   leaf_eligibility Eligibility(const leaf_state& leaf, const residency& homes,
                                time_point now, duration work) const;
 
   location here_;
   leaf_directory& directory_;
+  const evacuation& evacuations_;
   fleet_event fleet_;     ///< Latest size of the fleet.
   time_point started_{};  ///< Time of the first event of this process.
   std::vector<leaf_candidate> candidates_;
   std::vector<leaf_state*> leafs_;  ///< Leaf of each candidate.
+  exclusion_counts exclusions_{};   ///< Of all candidates so far.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/routing/residency.cpp
+++ b/packages/gateway/routing/residency.cpp
@@ -42,6 +42,17 @@
                      [&](const auto& set) { return Has(*set, region); });
 }
 
+std::string residency::Names() const {
+  if (sets_.empty()) return {};
+  std::string names;
+  for (const std::string& region : *sets_.front()) {
+    if (!PermitsRegion(region)) continue;
+    if (!names.empty()) names += ',';
+    names += region;
+  }
+  return names.empty() ? "-" : names;
+}
+
 bool residency::PermitsZone(std::string_view zone, const location& here) const {
   return sets_.empty() || PermitsRegion(here.RegionOf(zone));
 }
--- a/packages/gateway/routing/residency.h
+++ b/packages/gateway/routing/residency.h
@@ -30,6 +30,10 @@
   /** True when each set has the region; an empty name is no region. */
   bool PermitsRegion(std::string_view region) const;
 
+  /** Regions that all sets have, with commas; empty without a restriction, "-"
+   *  when there is none. */
+  std::string Names() const;
+
   /** True when the region of a zone is permitted. A zone that `here` does not
    *  know is in no region. */
   bool PermitsZone(std::string_view zone, const location& here) const;
--- a/packages/gateway/tests/flood_simulation.h
+++ b/packages/gateway/tests/flood_simulation.h
@@ -145,6 +145,7 @@
   void Handle(std::size_t host, answer_effect& effect);
   void Handle(std::size_t, disconnect_leaf_effect&) {}
   void Handle(std::size_t, stop_sending_effect&) {}
+  void Handle(std::size_t, withdraw_call_effect&) {}
   void Handle(std::size_t, log_effect&) {}
   void StartWork(leaf& one);
   duration Distance(const host& from, const leaf& to) const;
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -117,6 +117,17 @@
     return id;
   }
 
+  /** Sends requests until one waits in the gateway, and returns that one. */
+  exchange_id RequestUntilQueued(const std::string& path) {
+    for (int i = 0; i < 100; ++i) {
+      const std::size_t sent = sends_.size();
+      const exchange_id id = Request(path);
+      if (sends_.size() == sent && AnswerOf(id) == nullptr) return id;
+    }
+    FAIL("no request waits");
+    return {};
+  }
+
   void Disconnect(exchange_id exchange) {
     Reduce(client_disconnected_event{exchange});
   }
@@ -172,6 +183,7 @@
   const std::vector<log_effect>& Logged() const { return logged_; }
   const std::vector<connect_leaf_effect>& Connects() const { return connects_; }
   const std::vector<stop_sending_effect>& Stops() const { return stops_; }
+  const std::vector<leaf_call>& Withdrawals() const { return withdrawals_; }
   gateway& Core() { return *core_; }
   time_point Now() const { return now_; }
 
@@ -204,6 +216,7 @@
   }
   void Collect(disconnect_leaf_effect&) {}
   void Collect(stop_sending_effect& one) { stops_.push_back(one); }
+  void Collect(withdraw_call_effect& one) { withdrawals_.push_back(one.call); }
   void Collect(answer_effect& one) { answers_.push_back(std::move(one)); }
   void Collect(log_effect& one) { logged_.push_back(std::move(one)); }
 
@@ -218,6 +231,7 @@
   std::vector<leaf_handle> connecting_;
   std::vector<log_effect> logged_;
   std::vector<stop_sending_effect> stops_;
+  std::vector<leaf_call> withdrawals_;
 };
 
 /** A gateway with a leaf of each service in three zones. */
--- a/packages/gateway/tests/residency_test.cpp
+++ b/packages/gateway/tests/residency_test.cpp
@@ -96,4 +96,72 @@
   }
 }
 
+// Guards against parts that wait in a region which a newer configuration
+// forbids, and against the wait for their deadline.
+TEST_CASE_METHOD(residency_fixture, "Residency_NarrowedWhileQueued_IsRefused") {
+  Restrict({"a", "b"});
+  const auto id = Request("/read/0");
+  const auto waiting = RequestUntilQueued("/read/1");
+  const auto sent = DrainSends();
+  Restrict({"c"}, 3);
+  CHECK(DrainSends().empty());
+  REQUIRE(AnswerOf(waiting) != nullptr);
+  CHECK(AnswerOf(waiting)->cause == refusal_cause::no_leaf);
+  CHECK(AnswerOf(waiting)->retry_after);
+  // A request that runs completes.
+  Reply(sent[0], Success(sent[0]));
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->status == kStatusOk);
+}
+
+// Guards against a call that is written to a forbidden region after it waited
+// for a connection, and against a withdrawal of permitted ones.
+TEST_CASE_METHOD(residency_fixture, "Residency_NarrowedWhileUnsent_MovesPart") {
+  Restrict({"a", "b"});
+  const auto id = Request("/query/1");
+  const auto first = DrainSends();
+  REQUIRE(first.size() == 4);
+  for (const auto& part : first) REQUIRE(In(part, "a-1"));
+  Restrict({"b", "c"}, 3);
+  CHECK(Withdrawals().size() == 4);
+  for (const auto& part : first) Fail(part, leaf_failure::withdrawn);
+  const auto moved = DrainSends();
+  REQUIRE(moved.size() == 4);
+  for (const auto& part : moved) {
+    CHECK(In(part, "b-1"));  // In the homes of both configurations.
+    Reply(part, Success(part));
+  }
+  REQUIRE(AnswerOf(id) != nullptr);
+  CHECK(AnswerOf(id)->missing_parts == 0);
+  CHECK(Core().Counters().withdrawn == 4);
+  CHECK(Core().Counters().retries == 0);
+  Restrict({"b"}, 4);
+  CHECK(Withdrawals().size() == 4);
+}
+
+// Guards against an order that is withdrawn and placed again although its first
+// leaf may have it.
+TEST_CASE_METHOD(residency_fixture, "Residency_NarrowedAfterSend_RunsOnce") {
+  Restrict({"a"});
+  const auto id = Request("/order/1");
+  const auto sent = OnlySend();
+  Restrict({"b"}, 3);
+  CHECK(DrainSends().empty());
+  Fail(sent, leaf_failure::broken);
+  CHECK(DrainSends().empty());
+  CHECK(AnswerOf(id)->status == kStatusBadGateway);
+}
+
+// Guards against a request without a client that is still sent to a region
+// which was forbidden meanwhile.
+TEST_CASE_METHOD(residency_fixture, "Residency_ClientLeft_UnsentIsWithdrawn") {
+  Restrict({"a"});
+  const auto id = Request("/order/1");
+  const auto sent = OnlySend();
+  Disconnect(id);
+  Restrict({"b"}, 3);
+  REQUIRE(Withdrawals().size() == 1);
+  CHECK(Withdrawals()[0] == sent.call);
+}
+
 }  // namespace corianderrail::gateway
