Prefer hosts in a home region in lookups

Clients whose own region has no host that takes them were sent to any other region, so requests of routes with home regions started far from their leafs. Hosts in neither a home region nor the client's follow only after all that are ready or starting. Without home regions the order is the one before.

--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -76,7 +76,8 @@
     }
     const auto from = platform::DecodeLookupRequest(target);
     const auto addresses = gateway::ChooseEntries(
-        members, from.zone, from.region, kEntrySettings, kMaxLookupAddresses);
+        members, {from.zone, from.region, core.HomeRegions(from.name)},
+        kEntrySettings, kMaxLookupAddresses);
     if (addresses.empty()) {
       lookup_server.Reply(id, {gateway::kStatusUnavailable, {}, {}});
       return;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -63,6 +63,9 @@
   /** Client limits of the active configuration, or the defaults. */
   const client_limits& Limits() const;
 
+  /** Home regions of the routes with a host name; empty without any. */
+  const region_set& HomeRegions(std::string_view host) const;
+
   const gateway_counters& Counters() const { return counters_; }
   const answer_stats& Answers() const { return answers_; }
   std::size_t OpenExchanges() const { return exchanges_.size(); }
--- a/packages/gateway/gateway_restrictions.cpp
+++ b/packages/gateway/gateway_restrictions.cpp
@@ -54,6 +54,11 @@
        {"zones", std::to_string(evacuations_.Size())}}});
 }
 
+const region_set& gateway::HomeRegions(std::string_view host) const {
+  static const region_set none;
+  return routes_ ? routes_->HomesOf(host) : none;
+}
+
 time_point gateway::SendBefore(const leaf_state& leaf) const {
   return std::min(directory_.SendBefore(leaf),
                   evacuations_.SendBefore(leaf.record.zone));
--- a/packages/gateway/hosts/entry_choice.cpp
+++ b/packages/gateway/hosts/entry_choice.cpp
@@ -40,10 +40,33 @@
   return member.state == member_state::alive && !member.caller_address.empty();
 }
 
-int DistanceOf(const member_record& member, std::string_view zone,
-               std::string_view region) {
-  if (member.zone == zone) return 0;
-  return member.region == region ? 1 : 2;
+/** Distance of a host from a client and its leafs, from best to worst. */
+enum class entry_distance { zone, region, home, other };
+
+entry_distance DistanceOf(const member_record& member,
+                          const client_place& client) {
+  if (member.zone == client.zone) return entry_distance::zone;
+  if (member.region == client.region) return entry_distance::region;
+  const bool home = client.homes.empty() ||
+                    std::find(client.homes.begin(), client.homes.end(),
+                              member.region) != client.homes.end();
+  return home ? entry_distance::home : entry_distance::other;
+}
+
+/** Positions per usability: one for each distance, and one more for starting
+ *  hosts outside of the home regions, after the ready ones there. */
+constexpr int kPositions = 5;
+
+/** Position of a host among those that a client may use; lower is better. */
+int PositionOf(const member_record& member, const client_place& client) {
+  const auto state = static_cast<int>(UsabilityOf(member));
+  const entry_distance distance = DistanceOf(member, client);
+  constexpr int kStarting = static_cast<int>(usability::starting);
+  const int position = static_cast<int>(distance);
+  if (distance != entry_distance::other || state > kStarting) {
+    return state * kPositions + position;
+  }
+  return kStarting * kPositions + position + state;
 }
 
 bool IsStronger(const member_record* a, const member_record* b) {
@@ -83,33 +106,29 @@
 }
 
 std::vector<std::string> ChooseEntries(std::span<const member_record> members,
-                                       std::string_view zone,
-                                       std::string_view region,
+                                       const client_place& client,
                                        const entry_settings& settings,
                                        std::size_t max_addresses) {
   std::vector<std::string> addresses;
-  for (const member_record* member : ActiveEntries(members, zone, settings)) {
+  for (const member_record* member :
+       ActiveEntries(members, client.zone, settings)) {
     addresses.push_back(member->caller_address);
   }
-  constexpr int kDistances = 3;
-  const auto rank = [&](const member_record& member) {
-    return static_cast<int>(UsabilityOf(member)) * kDistances +
-           DistanceOf(member, zone, region);
-  };
-  constexpr int kNone = static_cast<int>(usability::none) * kDistances;
+  constexpr int kNone = static_cast<int>(usability::none) * kPositions;
   int best = kNone;
   for (const member_record& member : members) {
-    best = std::min(best, rank(member));
+    best = std::min(best, PositionOf(member, client));
   }
   const bool needs_others = addresses.empty() && best < kNone;
   std::vector<const member_record*> others;
   for (const member_record& member : members) {
-    if (needs_others && rank(member) == best) others.push_back(&member);
+    if (needs_others && PositionOf(member, client) == best)
+      others.push_back(&member);
   }
   // If no host is ready, the store is unreachable for all. Whichever host reads
   // it first serves the others, so only strong ones get clients.
   const bool starting =
-      best / kDistances == static_cast<int>(usability::starting);
+      !others.empty() && UsabilityOf(*others.front()) == usability::starting;
   if (starting && others.size() > settings.spare_hosts) {
     std::sort(others.begin(), others.end(), IsStronger);
     others.resize(settings.spare_hosts);
--- a/packages/gateway/routing/route_table.cpp
+++ b/packages/gateway/routing/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/routing/route_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace corianderrail::gateway {
@@ -10,9 +11,20 @@
     : config_(std::move(config)) {
   for (const route& one : config_->routes) {
     hosts_[one.host].insert_or_assign(one.prefix, &one);
+    for (const std::string& region : one.residency) {
+      region_set& homes = homes_[one.host];
+      if (std::find(homes.begin(), homes.end(), region) == homes.end())
+        homes.push_back(region);
+    }
   }
 }
 
+const region_set& route_table::HomesOf(std::string_view host) const {
+  static const region_set none;
+  const auto found = homes_.find(host);
+  return found == homes_.end() ? none : found->second;
+}
+
 // Looks up the prefixes of the path that end with a slash, longest first; the
 // prefix of a route always ends with a slash. A path has few such prefixes,
 // while a host may have thousands of routes.
--- a/packages/gateway/routing/route_table.h
+++ b/packages/gateway/routing/route_table.h
@@ -21,6 +21,9 @@
   /** Route with the longest matching prefix, or null. */
   const route* Find(std::string_view host, std::string_view path) const;
 
+  /** Home regions of all routes with a host name; empty without any. */
+  const region_set& HomesOf(std::string_view host) const;
+
   const routing_config& Config() const { return *config_; }
   const std::shared_ptr<const routing_config>& Shared() const {
     return config_;
@@ -32,6 +35,7 @@
 
   std::shared_ptr<const routing_config> config_;
   std::unordered_map<std::string_view, host_routes> hosts_;
+  std::unordered_map<std::string_view, region_set> homes_;  ///< By host name.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/tests/fleet_test.cpp
+++ b/packages/gateway/tests/fleet_test.cpp
@@ -54,11 +54,12 @@
 
   std::vector<std::string> Entries(const std::string& zone,
                                    const std::string& region) const {
-    return ChooseEntries(members_, zone, region, {}, 64);
+    return ChooseEntries(members_, {zone, region, homes_}, {}, 64);
   }
 
  protected:
   std::vector<member_record> members_;
+  std::vector<std::string> homes_;  ///< Of the routes; empty for none.
 };
 
 }  // namespace
@@ -105,6 +106,36 @@
   CHECK(Entries("a", "r") == std::vector<std::string>{"a3", "a1"});
 }
 
+// Guards against clients that go to hosts without a leaf for them in reach,
+// while hosts in a home region, or in their own one, take clients or will soon.
+TEST_CASE_METHOD(fleet_fixture, "Entries_HomeRegions_GoBeforeOthers") {
+  Add("d0", "d", "t");
+  homes_ = {"t"};
+  using addresses = std::set<std::string>;
+  const auto entries = [&](const char* zone, const char* region) {
+    const auto found = Entries(zone, region);
+    return addresses(found.begin(), found.end());
+  };
+  CHECK(entries("x", "u") == addresses{"d0"});
+  CHECK(entries("b", "r") == addresses{"b1", "b0"});
+  CHECK(entries("e", "s") == addresses{"c0"});
+  Host("c0").state = member_state::gone;
+  CHECK(entries("e", "s") == addresses{"d0"});
+  Host("d0").ready = false;
+  CHECK(entries("e", "s") == addresses{"d0"});
+  Host("d0").state = member_state::suspect;
+  CHECK(entries("e", "s").size() == 7);
+  for (member_record& member : members_) member.ready = member.zone == "b";
+  CHECK(entries("e", "s") == addresses{"b1", "b0"});
+  for (member_record& member : members_) member.state = member_state::suspect;
+  CHECK(entries("e", "s") == addresses{"c0"});
+  Host("c0").state = member_state::gone;
+  CHECK(entries("e", "s") == addresses{"d0"});
+  homes_.clear();
+  for (member_record& member : members_) member.state = member_state::alive;
+  CHECK(entries("e", "s") == addresses{"b1", "b0"});
+}
+
 // Guards against a starting host that names only itself, and against a lone
 // host that never answers.
 TEST_CASE("Lookup_NoOtherHostHeardYet_IsAnsweredAfterATime") {
--- a/packages/gateway/tests/residency_test.cpp
+++ b/packages/gateway/tests/residency_test.cpp
@@ -62,6 +62,19 @@
   CHECK_FALSE(homes.PermitsZone("x-1", here));
 }
 
+// Guards against lookups that know only the homes of one route of a name, or
+// those of another name.
+TEST_CASE_METHOD(residency_fixture, "Residency_HomesOfName_AreOfAllItsRoutes") {
+  CHECK(Core().HomeRegions("h").empty());
+  auto config = Config(2);
+  config->routes[0].residency = {"a", "b"};
+  config->routes[1].residency = {"b", "c"};
+  config->routes[2].host = "other";
+  Configure(std::move(config));
+  CHECK(Core().HomeRegions("h") == region_set{"a", "b", "c"});
+  CHECK(Core().HomeRegions("other").empty());
+}
+
 // Guards against first attempts, retries and hedges outside of the homes, also
 // where the only permitted leaf is far and has failed.
 TEST_CASE_METHOD(residency_fixture, "Residency_EachAttempt_StaysInHomes") {
