--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -24,7 +24,9 @@
 
   /** Replaces the gateway by one with these settings. */
   void Build(gateway_settings settings) {
-    settings.here = {"a-1", "a", {{"a-1", "a"}, {"b-1", "b"}, {"c-1", "c"}}};
+    if (settings.here.zone.empty()) {
+      settings.here = {"a-1", "a", {{"a-1", "a"}, {"b-1", "b"}, {"c-1", "c"}}};
+    }
     if (settings.repeats.slack == 0) settings.repeats.slack = 100;
     core_ = std::make_unique<gateway>(settings);
     Reduce(fleet_event{2, 2, true, {1, 1}, {1, 1}});
--- a/packages/gateway/tests/placement_test.cpp
+++ b/packages/gateway/tests/placement_test.cpp
@@ -311,6 +311,16 @@
   CHECK(first == 300);
 }
 
+// Guards against requests for a service that a newer configuration took out of
+// use by the weight 0, as long as it has credit left.
+TEST_CASE("Split_WeightBecomesZero_GetsNothing") {
+  weighted_round_robin split;
+  const std::vector<weighted_service> before = {{"a", 1}, {"b", 1}};
+  CHECK(split.Next(before) == 0);
+  const std::vector<weighted_service> after = {{"a", 1}, {"b", 0}};
+  for (int i = 0; i < 10; ++i) CHECK(split.Next(after) == 0);
+}
+
 // Guards against a prefix that matches only part of a path segment.
 TEST_CASE("Routes_LongestPrefix_Wins") {
   auto config = std::make_shared<routing_config>();
