--- a/packages/gateway/tests/placement_simulation.h
+++ b/packages/gateway/tests/placement_simulation.h
@@ -75,7 +75,9 @@
   };
 
   std::size_t Below(std::size_t bound) { return random_() % bound; }
-  bool Chance(double share) { return Below(1000) < share * 1000; }
+  bool Chance(int percent) {
+    return Below(100) < static_cast<std::size_t>(percent);
+  }
 
   void MakeTopology() {
     const std::size_t regions = 1 + Below(4);
@@ -96,9 +98,9 @@
 
   region_set Homes() {
     region_set homes;
-    if (Chance(0.3)) return homes;
+    if (Chance(30)) return homes;
     for (const std::string& region : regions_) {
-      if (Chance(0.6)) homes.push_back(region);
+      if (Chance(60)) homes.push_back(region);
     }
     return homes;
   }
@@ -112,9 +114,12 @@
       if (one.Gathers()) continue;
       one.targets = {{"plain", static_cast<double>(Below(3))},
                      {"plain2", static_cast<double>(1 + Below(2))}};
-      if (Chance(0.5)) std::swap(one.targets[0], one.targets[1]);
+      if (Chance(50)) std::swap(one.targets[0], one.targets[1]);
+    }
+    if (Chance(10)) {
+      std::swap(config->routes[Below(3)], config->routes.back());
+      config->routes.pop_back();
     }
-    if (Chance(0.1)) config->routes.erase(config->routes.begin() + Below(3));
     config_ = config;
     for (auto& [attempt, request] : requests_) {
       if (const route* newer = RouteOf(request.path)) {
@@ -144,7 +149,7 @@
   }
 
   void Send() {
-    static const char* const kPaths[] = {"/query/1", "/read/1", "/order/1"};
+    constexpr const char* kPaths[] = {"/query/1", "/read/1", "/order/1"};
     const std::string path = kPaths[Below(3)];
     const exchange_id id = Request(path, milliseconds(100 + Below(700)));
     open_.push_back(id);
@@ -170,7 +175,7 @@
       AdvanceTime(milliseconds(Below(25)));
     } else if (kind < 91) {
       const std::string& zone = zones_[Below(zones_.size())];
-      const bool active = !evacuated_.contains(zone) && Chance(0.5);
+      const bool active = !evacuated_.contains(zone) && Chance(50);
       active ? (void)evacuated_.insert(zone) : (void)evacuated_.erase(zone);
       Reduce(evacuation_event{{{zone, ++revision_, active}}});
     } else if (kind < 94) {
@@ -250,7 +255,7 @@
         Check(call);
         pooled& one = pool_[call.call];
         one.call = call;
-        if (Chance(0.5)) Write(one);
+        if (Chance(50)) Write(one);
       }
       for (const auto& [id, one] : pool_) {
         if (one.written || Now() < one.call.send_before) continue;
