Pass optional figures of the platform on as tables

All figures are now passed on as text, and platform/settings_names.h maps those that are keys of the settings; a figure that is missing, new or no number never keeps a host from starting.

--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -3,12 +3,16 @@
 #include "edge/edge_settings.h"
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
+#include <cmath>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <string>
 
 #include "contract/toml_reader.h"
+#include "platform/settings_names.h"
 #include "wire/peer_codec.h"
 
 namespace corianderrail::edge {
@@ -104,6 +108,43 @@
   return into;
 }
 
+/** Number in a text; empty for any other text. */
+std::optional<double> NumberIn(std::string_view text) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, number);
+  const bool whole_text = read.ec == std::errc() && read.ptr == end;
+  if (!whole_text || !std::isfinite(number)) return std::nullopt;
+  return number;
+}
+
+/** Adds a key unless it exists, as an integer if the number is whole: keys of
+ *  times and sizes take no fractions. */
+void InsertNumber(toml::table& settings, std::string_view key, double number) {
+  const auto whole = static_cast<std::int64_t>(std::llround(number));
+  if (static_cast<double>(whole) == number) {
+    settings.insert(key, whole);
+  } else {
+    settings.insert(key, number);
+  }
+}
+
+/** Replaces the figures of the platform by the settings that they stand for,
+ *  unless the settings have these keys already. */
+void TranslateFigures(toml::table& settings) {
+  for (const std::string_view name : platform::kFigureTables) {
+    const toml::table* figures = settings[name].as_table();
+    if (figures == nullptr) continue;
+    const toml::table copy = *figures;
+    settings.erase(name);
+    for (const auto& [figure, value] : copy) {
+      const std::string_view key = platform::SettingsKeyOf(figure.str());
+      const auto number = NumberIn(value.value_or(std::string_view()));
+      if (!key.empty() && number) InsertNumber(settings, key, *number);
+    }
+  }
+}
+
 }  // namespace
 
 duration edge_settings::Propagation() const {
@@ -113,9 +154,10 @@
 edge_settings ParseEdgeSettings(std::string_view text,
                                 const std::string& name) {
   fault_list faults(name);
-  const auto table = ParseToml(text, faults);
+  auto table = ParseToml(text, faults);
   edge_settings settings;
   if (table) {
+    TranslateFigures(*table);
     toml_reader reader(*table, faults);
     settings = ReadSettings(reader, faults);
   }
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -114,6 +114,21 @@
   CHECK(Faults("evacuate_ms = 0\n").find("evacuate_ms") != std::string::npos);
 }
 
+// Guards against a deployment without a figure that others have, and against
+// figures of the platform that keep a host from starting.
+TEST_CASE("Settings_PlatformFigures_StandForKeys") {
+  const auto with = [](const std::string& figures) {
+    const std::string text =
+        CompleteSettings() + "\n[platform_bounds]\n" + figures;
+    return ParseEdgeSettings(text, "f.toml");
+  };
+  CHECK(with("EvacuateMs = '900'\nNew = 'null'\nOther = '[1]'\n").evacuate ==
+        std::chrono::milliseconds(900));
+  CHECK_FALSE(with("EvacuateMs = 'null'\n").evacuate);
+  CHECK_FALSE(with("EvacuateMs = '1e999'\n").evacuate);
+  CHECK_FALSE(with("DrainMs = '900'\n").evacuate);
+}
+
 // Guards against changed values that are ignored until a restart without being
 // reported.
 TEST_CASE("Settings_AddressesChange_AreNamedForTheNextStart") {
