Limit the requests to cold leafs by permits of hosts

Cause: a leaf that has just started crashes when all hosts send it their usual share, and hosts cannot ask each other in time.

Each zone has a fixed share of the rate of a cold leaf, and the first hosts of the order of a zone hold it as permits. A candidate without a permit has no capacity; a leaf of which this host holds no permit is not eligible, so that a service that has only such leafs is refused at once.

--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -22,6 +22,7 @@
   std::uint64_t open_exchanges = 0;  ///< Client requests not answered yet.
   std::uint64_t open_calls = 0;      ///< Requests to leafs in flight.
   std::uint64_t known_leafs = 0;     ///< Leafs in the registry.
+  std::uint64_t cold_leafs = 0;      ///< Leafs with a limited rate.
   std::uint64_t version = 0;         ///< Version of the configuration in force.
   http_server_counters clients;      ///< Connections of clients.
   leaf_pool_counters leafs;          ///< Connections to leafs.
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -106,6 +106,7 @@
   settings.here = {from.zone, from.region, from.regions};
   settings.repeats = {from.repeat_ratio, from.repeat_slack, from.repeat_window};
   settings.leafs.drain_time = from.leaf_drain;
+  settings.cold = {from.cold_excess, from.cold_slack, from.stop_grace};
   return settings;
 }
 
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -89,6 +89,8 @@
       from.Integer("stop_grace_s", 1, 3600, presence::optional, 6));
   into.lookup_ttl_s = static_cast<std::uint32_t>(from.Integer(
       "lookup_ttl_s", 1, kMaxTtlS, presence::optional, into.lookup_ttl_s));
+  into.cold_excess = from.Number("cold_excess", 0, 1000, presence::optional, 0);
+  into.cold_slack = from.Number("cold_slack", 0, 1e6, presence::optional, 0);
   ReadSeeds(from, into, faults);
   ReadRegions(from, into, faults);
   if (into.shared_key.size() < kMinSharedKeyBytes && from.Has("shared_key")) {
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -50,6 +50,8 @@
   duration recovery = std::chrono::seconds(5);
   duration stop_grace = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
   std::uint32_t lookup_ttl_s = 1;  ///< Lifetime of a lookup answer.
+  double cold_excess = 0;  ///< Factor on the rate of cold leafs; 0: no limit.
+  double cold_slack = 0;   ///< Further requests per second to a cold leaf.
 };
 
 /**
--- a/packages/edge/settings_change.cpp
+++ b/packages/edge/settings_change.cpp
@@ -39,6 +39,8 @@
     restart_key{"config_propagation_ms",
                 &Same<&edge_settings::config_propagation>},
     restart_key{"recovery_ms", &Same<&edge_settings::recovery>},
+    restart_key{"cold_excess", &Same<&edge_settings::cold_excess>},
+    restart_key{"cold_slack", &Same<&edge_settings::cold_slack>},
 };
 
 }  // namespace
--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -34,6 +34,8 @@
         {"leaf_delisted", 10, 200},
         {"leaf_leaving", 10, 200},
         {"config_in_force", 5, 20},
+        {"leaf_cold", 5, 100},
+        {"leaf_warm", 5, 100},
     }};
 
 }  // namespace corianderrail::edge
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -37,6 +37,7 @@
       directory_(settings_.leafs),
       selector_(settings_.here, directory_) {
   slack_share_ = settings_.repeats.slack;
+  selector_.Cold().Configure(settings_.cold);
 }
 
 gateway::~gateway() = default;
@@ -52,8 +53,8 @@
 }
 
 time_point gateway::NextWake() const {
-  return timers_.empty() ? next_check_
-                         : std::min(timers_.top().at, next_check_);
+  const time_point check = std::min(next_check_, selector_.Cold().NextFree());
+  return timers_.empty() ? check : std::min(timers_.top().at, check);
 }
 
 config_version gateway::Version() const {
@@ -81,7 +82,7 @@
   for (const part& piece : pending.parts) freed.push_back(piece.service);
   // A non-idempotent request is not canceled at its leaf, because a
   // cancellation would leave unknown how far the request got.
-  if (pending.Idempotent()) CancelCalls(pending);
+  if (pending.Idempotent()) CancelCalls(pending, now);
   exchanges_.erase(found);
   for (const auto& service : freed) DispatchWaiting(*service, now);
 }
@@ -97,6 +98,7 @@
   if (leaf_state* leaf = directory_.Find(call.leaf)) {
     const bool had_limit = leaf->monitor.Window().HasLimit(now);
     RecordAnswer(*leaf, call, input.call, answer, now);
+    selector_.Cold().OnEnded(*leaf, now);
     if (!had_limit) LogLimit(*leaf, now);
   }
   const auto owner = exchanges_.find(call.exchange);
@@ -120,6 +122,7 @@
     } else {
       leaf.departure.OnServing(call.sent);
     }
+    if (answer.cold_left) leaf.cold.OnStated(*answer.cold_left, now);
   }
   switch (kind) {
     case answer_kind::success:
@@ -180,6 +183,7 @@
   if (leaf_state* leaf = directory_.Find(call.leaf)) {
     const bool before = leaf->monitor.OnProbation();
     leaf->monitor.OnFailure(input.call, input.failure, now);
+    selector_.Cold().OnEnded(*leaf, now);
     if (!before && leaf->monitor.OnProbation()) {
       LogSuspicion(*leaf, input.failure == leaf_failure::not_sent
                               ? "connection failed"
@@ -231,6 +235,7 @@
   for (const upstream_service& one : input.config->services) {
     Service(one.name)->max_connections = one.max_connections;
   }
+  selector_.Cold().SetServices(input.config->services);
   Prune(now);
   for (const std::string& service : routed_services_) {
     if (!before.contains(service)) WarmUp(service);
@@ -250,6 +255,10 @@
   for (const registry_change& change : input.changes) {
     for (const leaf_handle ended :
          directory_.Apply(change, input.timing, now)) {
+      // The new process at the address is cold and counts from 0.
+      if (settings_.cold.excess > 0) {
+        effects_->push_back(stop_sending_effect{ended, now});
+      }
       effects_->push_back(disconnect_leaf_effect{ended});
     }
     const leaf_state* leaf = directory_.FindKey(change.key);
@@ -279,6 +288,7 @@
   const bool joins = input.is_entry && !fleet_.is_entry;
   fleet_ = input;
   selector_.SetFleet(input);
+  selector_.Cold().SetHosts(input.zone_hosts, now);
   if (!fleet_.is_entry) warmup_.Clear();
   if (joins) {
     CheckSoon(now);
@@ -309,6 +319,9 @@
     lag_.OnTimer(due.at, now);
     OnTimer(due, now);
   }
+  for (const std::string& service : selector_.Cold().TakeFreed(now)) {
+    DispatchWaiting(*Service(service), now);
+  }
   if (now < next_check_) return;
   const bool probes = CheckLeafs(now);
   const bool calm = !probes && exchanges_.empty() && warmup_.Size() == 0;
@@ -340,7 +353,9 @@
     if (leaf != nullptr && SendsTo(leaf->record.service)) Connect(*leaf);
   }
   bool probes = false;
+  cold_leafs_ = 0;
   directory_.Visit([&](leaf_state& leaf) {
+    CheckCold(leaf, now);
     if (!leaf.monitor.OnProbation()) return;
     probes = true;
     const bool due = !leaf.monitor.Ejected(now);
@@ -358,6 +373,29 @@
   return probes;
 }
 
+/** Counts cold leafs and logs when the cold time of a leaf begins or ends. */
+void gateway::CheckCold(leaf_state& leaf, time_point now) {
+  cold_permits& cold = selector_.Cold();
+  const auto held = cold.Held(leaf, now);
+  if (held) ++cold_leafs_;
+  if (held.has_value() == leaf.cold_logged) return;
+  leaf.cold_logged = held.has_value();
+  const duration left = held ? cold.ColdUntil(leaf) - now : duration{};
+  effects_->push_back(
+      log_effect{held ? decision::leaf_cold : decision::leaf_warm,
+                 leaf.record.instance,
+                 {{"service", leaf.record.service},
+                  {"zone", leaf.record.zone},
+                  {"left_us", std::to_string(left.count())},
+                  {"bound", std::to_string(cold.Bound(leaf.record.service))},
+                  {"permits", std::to_string(held.value_or(0))}}});
+}
+
+void gateway::OnEvacuationEnd(std::string_view zone, time_point now) {
+  directory_.OnEvacuationEnd(zone, now);
+  next_check_ = std::min(next_check_, now);
+}
+
 /** Logs the concurrency limit of a leaf, if there is one now. */
 void gateway::LogLimit(const leaf_state& leaf, time_point now) {
   const concurrency_window& window = leaf.monitor.Window();
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -30,6 +30,7 @@
   location here;            ///< Zone and region of this host.
   repeat_settings repeats;  ///< Ratio, window, and slack of the whole fleet.
   leaf_directory_settings leafs;  ///< Timing of leaving leafs.
+  cold_settings cold;             ///< Bounds of requests to cold leafs.
   duration client_network_time =
       std::chrono::milliseconds(14);  ///< Part of the objective for the network
                                       ///< if the time of a client is unknown.
@@ -49,6 +50,9 @@
   /** Handles one event and appends the resulting effects. */
   void Reduce(event input, time_point now, effect_list& effects);
 
+  /** An evacuation of a zone ended: its leafs count as cold from now on. */
+  void OnEvacuationEnd(std::string_view zone, time_point now);
+
   /** Time at which the caller must pass the next wake_event. */
   time_point NextWake() const;
 
@@ -67,6 +71,7 @@
   std::size_t OpenExchanges() const { return exchanges_.size(); }
   std::size_t OpenCalls() const { return calls_.size(); }
   std::size_t Leafs() const { return directory_.Size(); }
+  std::size_t ColdLeafs() const { return cold_leafs_; }
 
  private:
   struct part;
@@ -101,6 +106,7 @@
                     const leaf_answer& answer, time_point now);
   bool CheckLeafs(time_point now);
   void CheckSoon(time_point now);
+  void CheckCold(leaf_state& leaf, time_point now);
   void OnStatedLeaving(leaf_state& leaf, time_point now);
   void LimitSending(const leaf_state& leaf);
   void LogLimit(const leaf_state& leaf, time_point now);
@@ -128,7 +134,7 @@
   void Dequeue(exchange& pending, std::size_t index);
   void MarkWaitingLate(exchange& pending);
   bool MayKeepIdle(const service_state& service) const;
-  void CancelCalls(exchange& pending);
+  void CancelCalls(exchange& pending, time_point now);
   bool SpendRepeat(const exchange& pending, part& piece, repeat_reason reason,
                    time_point now);
   void LogRepeat(const exchange& pending, const part& piece,
@@ -160,9 +166,10 @@
   gateway_settings settings_;
   std::unique_ptr<route_table> routes_;
   leaf_directory directory_;
-  leaf_selector selector_;  ///< Reads directory_.
-  fleet_event fleet_;       ///< Latest size of the fleet.
-  double slack_share_ = 0;  ///< Repeats of this host per window.
+  leaf_selector selector_;      ///< Reads directory_.
+  fleet_event fleet_;           ///< Latest size of the fleet.
+  double slack_share_ = 0;      ///< Repeats of this host per window.
+  std::size_t cold_leafs_ = 0;  ///< At the last check.
   bool registry_complete_ = false;
   bool startup_delayed_ = false;   ///< Requests do not wait for CanServe().
   bool stopping_ = false;          ///< New requests are refused.
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -67,6 +67,7 @@
       piece.service->queue.HoldsOnlyLessUrgent(pending.matched->rank);
   query.reserve = urgent ? kUrgentReserve : 0;
   selector_.Collect(query, now);
+  counters_.permit_skips += selector_.PermitSkips();
 }
 
 void gateway::Place(exchange& pending, std::size_t index, send_cause cause,
@@ -99,6 +100,7 @@
   piece.state = part::phase::open;
   ++piece.open;
   ++counters_.leaf_requests;
+  if (chosen.permits) ++counters_.cold_requests;
   ++counters_.sends[static_cast<std::size_t>(cause)]
                    [static_cast<std::size_t>(selector_.DistanceOf(leaf))];
 
@@ -209,18 +211,16 @@
   part& piece = pending.parts[index];
   piece.queued_late = now >= pending.objective_at;
   const waiting_part position = QueuePosition(pending, index);
-  double parallel = 0;
   duration usual = duration::max();
   for (const leaf_candidate& candidate : selector_.Candidates()) {
     if (candidate.eligibility == leaf_eligibility::unusable) continue;
-    parallel += std::min(candidate.limit, candidate.slots);
     usual = std::min(usual, candidate.expected);
   }
+  const double parallel = ParallelRequests(selector_.Candidates());
   part_queue& queue = piece.service->queue;
   if (now + queue.ExpectedWait(position, now) + usual > pending.deadline)
     return false;
-  const double interval =
-      static_cast<double>(usual.count()) / std::max(parallel, 1.0);
+  const double interval = static_cast<double>(usual.count()) / parallel;
   queue.Add(position, duration(static_cast<duration::rep>(interval)), now);
   piece.state = part::phase::waiting;
   ++counters_.queued;
@@ -286,12 +286,13 @@
   if (!waits) Advance(position.exchange, now);
 }
 
-void gateway::CancelCalls(exchange& pending) {
+void gateway::CancelCalls(exchange& pending, time_point now) {
   for (const leaf_call call : pending.calls) {
     const auto found = calls_.find(static_cast<std::uint64_t>(call));
     if (found == calls_.end()) continue;
     if (leaf_state* leaf = directory_.Find(found->second.leaf)) {
       leaf->monitor.DropCall(call);
+      selector_.Cold().OnEnded(*leaf, now);
     }
     calls_.erase(found);
     effects_->push_back(cancel_leaf_effect{call});
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -12,6 +12,7 @@
 
 #include "core/time_type.h"
 #include "gateway/leafs/connection_share.h"
+#include "gateway/leafs/permit_order.h"
 #include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
 #include "gateway/routing/routing_type.h"
@@ -71,6 +72,7 @@
   bool is_entry = true;       ///< Whether this host takes clients.
   fleet_size own_region;      ///< Fleet seen by a leaf in this host's region.
   fleet_size other_regions;   ///< Fleet seen by a leaf elsewhere, on average.
+  std::vector<zone_host> zone_hosts = {};  ///< Hosts of this host's zone.
 };
 
 /** Reloadable settings changed. */
@@ -157,8 +159,10 @@
   leaf_delisted,    ///< The registry removed a leaf, or it is draining.
   leaf_leaving,     ///< A leaf stated in an answer that it will stop.
   config_in_force,  ///< A newer configuration became active.
+  leaf_cold,        ///< The rate of a leaf is limited from now on.
+  leaf_warm,        ///< The rate of a leaf is no longer limited.
 };
-inline constexpr std::size_t kDecisions = 13;
+inline constexpr std::size_t kDecisions = 15;
 
 /** One value that a decision was based on. */
 struct decision_input {
@@ -205,8 +209,10 @@
   std::uint64_t repeats_denied = 0;  ///< Repeats denied by the budget.
   std::uint64_t leaf_sheds =
       0;  ///< Answers of leafs that did not run the request.
-  std::uint64_t leaf_failures = 0;             ///< Failed leaf requests.
-  std::uint64_t queued = 0;                    ///< Parts that were queued.
+  std::uint64_t leaf_failures = 0;  ///< Failed leaf requests.
+  std::uint64_t queued = 0;         ///< Parts that were queued.
+  std::uint64_t cold_requests = 0;  ///< Requests sent to cold leafs.
+  std::uint64_t permit_skips = 0;   ///< Choices without a permit for a leaf.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
 
--- a/packages/gateway/hosts/fleet_view.cpp
+++ b/packages/gateway/hosts/fleet_view.cpp
@@ -60,6 +60,14 @@
       [](const auto& member) { return member.state != member_state::gone; }));
   max_entries_ = std::max(max_entries_, total);
   max_hosts_ = std::max({max_hosts_, hosts, total});
+  for (const member_record& member : members) {
+    if (member.zone != here_.zone || member.state == member_state::gone) {
+      continue;
+    }
+    event.zone_hosts.push_back({member.ref.host, member.capacity,
+                                member.state == member_state::leaving,
+                                member.peer_address == self_});
+  }
   event.hosts = max_hosts_;
   event.entries = max_entries_;
   event.own_region = {entries.own_region, entries.other_regions};
--- a/packages/gateway/leafs/leaf_choice.h
+++ b/packages/gateway/leafs/leaf_choice.h
@@ -30,7 +30,8 @@
   std::uint32_t limit = 0;  ///< Maximum open requests of this host.
   std::uint32_t slots = 1;  ///< Requests that it runs concurrently.
   bool cold = false;        ///< In its slow start.
-  bool near = false;        ///< In the region of this host.
+  std::optional<std::uint32_t> permits;  ///< Of this host; empty: no limit.
+  bool near = false;                     ///< In the region of this host.
 };
 
 /** Outcome of a choice. */
--- a/packages/gateway/leafs/leaf_directory.cpp
+++ b/packages/gateway/leafs/leaf_directory.cpp
@@ -46,12 +46,13 @@
     leaf = nullptr;
   }
   if (leaf == nullptr) {
-    Add(change.key, *change.record, now);
+    Add(change.key, *change.record, timing, now);
     return ended;
   }
   leaf->record = *change.record;
   leaf->replaced = false;
   leaf->cold_until = now + change.record->cold_left;
+  leaf->cold.OnEntry(change.record->cold_left, timing.changed_after, now);
   SetListing(*leaf,
              change.record->draining ? listing::draining : listing::listed,
              timing.changed_after);
@@ -59,10 +60,14 @@
 }
 
 leaf_state& leaf_directory::Add(const std::string& key,
-                                const leaf_record& record, time_point now) {
+                                const leaf_record& record,
+                                const registry_timing& timing, time_point now) {
   auto fresh = memory_.Take(key, record);
-  if (!fresh) fresh = std::make_unique<leaf_state>();
+  const bool is_new = !fresh;
+  if (is_new) fresh = std::make_unique<leaf_state>();
   leaf_state& leaf = *fresh;
+  if (is_new && record.born_unix_ms != 0) leaf.cold.OnStarted(now);
+  leaf.cold.OnEntry(record.cold_left, timing.changed_after, now);
   leaf.handle = leaf_handle{next_handle_++};
   leaf.key = key;
   leaf.record = record;
@@ -138,6 +143,12 @@
                                    : leaf_eligibility::healthy;
 }
 
+void leaf_directory::OnEvacuationEnd(std::string_view zone, time_point now) {
+  Visit([&](leaf_state& leaf) {
+    if (leaf.record.zone == zone) leaf.cold.OnEvacuationEnd(now);
+  });
+}
+
 std::vector<leaf_handle> leaf_directory::RemoveExpired(time_point now) {
   std::vector<leaf_handle> ended;
   for (const auto& [handle, leaf] : leafs_) {
--- a/packages/gateway/leafs/leaf_directory.h
+++ b/packages/gateway/leafs/leaf_directory.h
@@ -54,6 +54,9 @@
   leaf_eligibility Eligibility(const leaf_state& leaf, time_point now,
                                duration work = {}) const;
 
+  /** The leafs of a zone count as cold after an evacuation of the zone. */
+  void OnEvacuationEnd(std::string_view zone, time_point now);
+
   /** Drops removed leafs that get no requests and have none open. What is known
    *  of them is kept in case that their entries return.
    *  @return Their handles. */
@@ -70,7 +73,7 @@
 
  private:
   leaf_state& Add(const std::string& key, const leaf_record& record,
-                  time_point now);
+                  const registry_timing& timing, time_point now);
   static void SetListing(leaf_state& leaf, listing listed, time_point since);
   void Drop(leaf_handle handle, time_point now);
 
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -18,7 +18,7 @@
 }  // namespace
 
 leaf_selector::leaf_selector(location here, leaf_directory& directory)
-    : here_(std::move(here)), directory_(directory) {}
+    : here_(std::move(here)), directory_(directory), cold_(here_) {}
 
 std::uint32_t leaf_selector::Limit(const leaf_state& leaf,
                                    std::uint32_t max_connections,
@@ -56,6 +56,7 @@
                                             const route& /*matched*/,
                                             time_point now,
                                             duration work) const {
+  if (cold_.Held(leaf, now) == 0u) return leaf_eligibility::unusable;
   return directory_.Eligibility(leaf, now, work);
 }
 
@@ -69,7 +70,7 @@
 
 leaf_candidate leaf_selector::CandidateFor(const leaf_state& leaf,
                                            const leaf_query& query,
-                                           time_point now) const {
+                                           time_point now) {
   leaf_candidate candidate;
   candidate.expected = query.stats->ExpectedLatency(
       leaf.record.zone, here_, query.matched->objective, now);
@@ -96,11 +97,26 @@
   if (overloaded || leaf.monitor.AtConnectionLimit(now)) {
     candidate.limit = std::min(candidate.limit, candidate.open);
   }
+  LimitCold(leaf, candidate, now);
   return candidate;
 }
 
+/** A cold leaf has capacity only while this host has a permit for it. */
+void leaf_selector::LimitCold(const leaf_state& leaf, leaf_candidate& candidate,
+                              time_point now) {
+  candidate.permits = cold_.Held(leaf, now);
+  if (!candidate.permits) return;
+  const std::uint32_t used = candidate.open + leaf.permits.Resting(now);
+  if (used < *candidate.permits) return;
+  candidate.limit = std::min(candidate.limit, candidate.open);
+  const bool skipped = *candidate.permits == 0 ||
+                       candidate.eligibility != leaf_eligibility::unusable;
+  if (skipped) ++permit_skips_;
+}
+
 void leaf_selector::Collect(const leaf_query& query, time_point now) {
   candidates_.clear();
+  permit_skips_ = 0;
   leafs_.clear();
   for (leaf_state* leaf : directory_.LeafsOf(query.service)) {
     candidates_.push_back(CandidateFor(*leaf, query, now));
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -9,6 +9,7 @@
 
 #include "core/time_type.h"
 #include "gateway/gateway_type.h"
+#include "gateway/leafs/cold_permits.h"
 #include "gateway/leafs/leaf_choice.h"
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/routing/route_stats.h"
@@ -61,16 +62,27 @@
   std::uint32_t Limit(const leaf_state& leaf, std::uint32_t max_connections,
                       time_point now) const;
 
+  cold_permits& Cold() { return cold_; }
+  const cold_permits& Cold() const { return cold_; }
+
+  /** Candidates of the last Collect() that were skipped because this host has
+   *  no permit for them. */
+  std::uint32_t PermitSkips() const { return permit_skips_; }
+
   leaf_distance DistanceOf(const leaf_state& leaf) const;
 
  private:
   leaf_candidate CandidateFor(const leaf_state& leaf, const leaf_query& query,
-                              time_point now) const;
+                              time_point now);
   leaf_eligibility Eligibility(const leaf_state& leaf, const route& matched,
                                time_point now, duration work) const;
+  void LimitCold(const leaf_state& leaf, leaf_candidate& candidate,
+                 time_point now);
 
   location here_;
   leaf_directory& directory_;
+  mutable cold_permits cold_;  ///< Mutable: notes positions when asked.
+  std::uint32_t permit_skips_ = 0;
   fleet_event fleet_;     ///< Latest size of the fleet.
   time_point started_{};  ///< Time of the first event of this process.
   std::vector<leaf_candidate> candidates_;
--- a/packages/gateway/leafs/leaf_state.h
+++ b/packages/gateway/leafs/leaf_state.h
@@ -4,8 +4,10 @@
 
 #include <string>
 
+#include "gateway/leafs/cold_time.h"
 #include "gateway/leafs/leaf_departure.h"
 #include "gateway/leafs/leaf_monitor.h"
+#include "gateway/leafs/permit_use.h"
 #include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
 
@@ -26,6 +28,9 @@
   listing listed = listing::listed;
   leaf_departure departure;  ///< Since when it leaves.
   time_point cold_until{};   ///< End of its slow start.
+  cold_time cold;            ///< Until when its rate is limited.
+  permit_use permits;        ///< Requests that ended a short time ago.
+  bool cold_logged = false;  ///< The begin of the cold time was logged.
   bool replaced = false;     ///< Another leaf answers at its address.
   bool connecting = false;   ///< A connect_leaf_effect is pending.
   leaf_monitor monitor;      ///< Health by this host's requests.
--- a/packages/gateway/message_type.h
+++ b/packages/gateway/message_type.h
@@ -53,9 +53,10 @@
   std::string attempt;    ///< Attempt named by the leaf; may be empty.
   bool not_run = false;   ///< The leaf states that the request did not run.
   bool leaving = false;   ///< The leaf states that it will stop.
-  bool encoded = false;   ///< The body has a content encoding.
-  std::vector<header_field> fields;  ///< Remaining end-to-end fields.
-  std::string body;                  ///< Complete body.
+  std::optional<duration> cold_left;  ///< Cold time that the leaf states.
+  bool encoded = false;               ///< The body has a content encoding.
+  std::vector<header_field> fields;   ///< Remaining end-to-end fields.
+  std::string body;                   ///< Complete body.
 };
 
 /** Why a request to a leaf ended without an answer. */
--- a/packages/gateway/routing/routing_type.h
+++ b/packages/gateway/routing/routing_type.h
@@ -45,6 +45,8 @@
 struct upstream_service {
   std::string name;                   ///< Unique among services.
   std::uint32_t max_connections = 0;  ///< Limit per leaf, for all hosts.
+  duration cold_time{};        ///< For which a leaf is cold after its start.
+  double cold_per_second = 0;  ///< That a cold leaf tolerates; 0: no limit.
 };
 
 /** Limits on client requests and connections. */
