--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -41,6 +41,16 @@
   CHECK(settings.processor_share == 0.25);
   CHECK(settings.repeat_slack == 52);
   CHECK(settings.seeds.size() == 1);
+  CHECK(settings.cold_excess == 0);
+}
+
+// Guards against a limit for cold leafs that is ignored where a deployment has
+// one; others have none.
+TEST_CASE("Settings_BoundsOfColdLeafs_AreRead") {
+  const auto settings = ParseEdgeSettings(
+      "cold_excess = 1.5\ncold_slack = 5\n" + CompleteSettings(), "f.toml");
+  CHECK(settings.cold_excess == 1.5);
+  CHECK(settings.cold_slack == 5);
 }
 
 // Guards against parsing that stops at the first fault, so that each start
