--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -101,6 +101,7 @@
     from.open_exchanges = core.OpenExchanges();
     from.open_calls = core.OpenCalls();
     from.known_leafs = core.Leafs();
+    from.cold_leafs = core.ColdLeafs();
     from.version = static_cast<std::uint64_t>(core.Version());
     from.evacuated_zones = core.Evacuations().Size();
     from.exclusions = core.Exclusions();
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -57,6 +57,8 @@
 
   /** Time within which any change of the store must be in force. */
   duration Propagation() const;
+  double cold_excess = 0;  ///< Factor on the rate of cold leafs; 0: no limit.
+  double cold_slack = 0;   ///< Further requests per second to a cold leaf.
 };
 
 /**
--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -36,6 +36,8 @@
         {"config_in_force", 5, 20},
         {"zone_evacuated", 1, 20},
         {"zone_restored", 1, 20},
+        {"leaf_cold", 5, 100},
+        {"leaf_warm", 5, 100},
     }};
 
 }  // namespace corianderrail::edge
--- a/packages/gateway/gateway_restrictions.cpp
+++ b/packages/gateway/gateway_restrictions.cpp
@@ -21,6 +21,7 @@
     if (!evacuations_.Apply(change, now)) continue;
     changed = true;
     OnZoneChanged(change);
+    if (!change.active) OnEvacuationEnd(change.zone, now);
   }
   if (!changed) return;
   CheckSoon(now);
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -13,6 +13,7 @@
 #include "core/time_type.h"
 #include "gateway/leafs/connection_share.h"
 #include "gateway/leafs/evacuation.h"
+#include "gateway/leafs/permit_order.h"
 #include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
 #include "gateway/routing/routing_type.h"
@@ -77,6 +78,7 @@
   bool is_entry = true;       ///< Whether this host takes clients.
   fleet_size own_region;      ///< Fleet seen by a leaf in this host's region.
   fleet_size other_regions;   ///< Fleet seen by a leaf elsewhere, on average.
+  std::vector<zone_host> zone_hosts = {};  ///< Hosts of this host's zone.
 };
 
 /** Reloadable settings changed. */
@@ -171,8 +173,10 @@
   config_in_force,  ///< A newer configuration became active.
   zone_evacuated,   ///< The evacuation of a zone began.
   zone_restored,    ///< The evacuation of a zone ended.
+  leaf_cold,        ///< The rate of a leaf is limited from now on.
+  leaf_warm,        ///< The rate of a leaf is no longer limited.
 };
-inline constexpr std::size_t kDecisions = 15;
+inline constexpr std::size_t kDecisions = 17;
 
 /** One value that a decision was based on. */
 struct decision_input {
@@ -224,7 +228,9 @@
   std::uint64_t withdrawn = 0;      ///< Leaf requests withdrawn before sending.
   std::uint64_t arrived_outside_homes =
       0;  ///< Requests whose home regions do not include this host's.
-  std::uint64_t queued = 0;                    ///< Parts that were queued.
+  std::uint64_t queued = 0;         ///< Parts that were queued.
+  std::uint64_t cold_requests = 0;  ///< Requests sent to cold leafs.
+  std::uint64_t permit_skips = 0;   ///< Choices without a permit for a leaf.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
 
