Refuse parts whose permit is free only after their deadline

Cause: a part waited for a permit that rests or is in use, also when none can be free before its deadline.

Change: a candidate carries the earliest time of a free permit. If all candidates are cold and that time plus the usual latency is after the deadline, the part is not queued.

Result: Service_PermitsFreeTooLate_IsRefusedAtOnce fails without the change and passes with it; all tests of the built targets pass.

--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -216,6 +216,8 @@
     if (candidate.eligibility == leaf_eligibility::unusable) continue;
     usual = std::min(usual, candidate.expected);
   }
+  if (FirstPermit(selector_.Candidates()) + usual > pending.deadline)
+    return false;
   const double parallel = ParallelRequests(selector_.Candidates());
   part_queue& queue = piece.service->queue;
   if (now + queue.ExpectedWait(position, now) + usual > pending.deadline)
--- a/packages/gateway/leafs/cold_permits.cpp
+++ b/packages/gateway/leafs/cold_permits.cpp
@@ -166,6 +166,15 @@
   return services;
 }
 
+time_point FirstPermit(std::span<const leaf_candidate> candidates) {
+  time_point first = kNever;
+  for (const leaf_candidate& one : candidates) {
+    if (one.eligibility == leaf_eligibility::unusable) continue;
+    first = std::min(first, one.permits ? one.permit_at : time_point{});
+  }
+  return first == kNever ? time_point{} : first;
+}
+
 double ParallelRequests(std::span<const leaf_candidate> candidates) {
   double parallel = 0;
   bool warm = false;
--- a/packages/gateway/leafs/cold_permits.h
+++ b/packages/gateway/leafs/cold_permits.h
@@ -112,6 +112,10 @@
   std::deque<resting_permit> resting_;  ///< Ordered by time.
 };
 
+/** Earliest time at which a candidate can have a permit; the past if one of
+ * them needs none. */
+time_point FirstPermit(std::span<const leaf_candidate> candidates);
+
 /** Requests that the candidates run at the same time, at least 1 unless all of
  *  them are cold: a permit rests after each request. */
 double ParallelRequests(std::span<const leaf_candidate> candidates);
--- a/packages/gateway/leafs/leaf_choice.h
+++ b/packages/gateway/leafs/leaf_choice.h
@@ -31,6 +31,7 @@
   std::uint32_t slots = 1;  ///< Requests that it runs concurrently.
   bool cold = false;        ///< In its slow start.
   std::optional<std::uint32_t> permits;  ///< Of this host; empty: no limit.
+  time_point permit_at{};                ///< Earliest time of a free permit.
   bool near = false;                     ///< In the region of this host.
 };
 
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -106,8 +106,9 @@
                               time_point now) {
   candidate.permits = cold_.Held(leaf, now);
   if (!candidate.permits) return;
-  const std::uint32_t used = candidate.open + leaf.permits.Resting(now);
-  if (used < *candidate.permits) return;
+  candidate.permit_at =
+      leaf.permits.FreeAt(*candidate.permits, candidate.open, now);
+  if (candidate.permit_at <= now) return;
   candidate.limit = std::min(candidate.limit, candidate.open);
   const bool skipped = *candidate.permits == 0 ||
                        candidate.eligibility != leaf_eligibility::unusable;
--- a/packages/gateway/leafs/permit_use.cpp
+++ b/packages/gateway/leafs/permit_use.cpp
@@ -21,4 +21,14 @@
   return static_cast<std::uint32_t>(ended_.end() - first);
 }
 
+time_point permit_use::FreeAt(std::uint32_t permits, std::uint32_t open,
+                              time_point now) const {
+  const std::uint32_t resting = Resting(now);
+  if (open + resting < permits) return now;
+  // This many have to become free, the one that ended first before others.
+  const std::uint32_t missing = open + resting - permits + 1;
+  if (missing > resting) return now + kPermitRest;
+  return ended_[ended_.size() - resting + missing - 1] + kPermitRest;
+}
+
 }  // namespace corianderrail::gateway
--- a/packages/gateway/leafs/permit_use.h
+++ b/packages/gateway/leafs/permit_use.h
@@ -24,6 +24,11 @@
   /** Requests that ended less than kPermitRest ago. */
   std::uint32_t Resting(time_point now) const;
 
+  /** Earliest time at which one of the permits can be free.
+   *  @param open Requests that have not ended. */
+  time_point FreeAt(std::uint32_t permits, std::uint32_t open,
+                    time_point now) const;
+
  private:
   std::deque<time_point> ended_;  ///< In order; older ones are removed.
 };
--- a/packages/gateway/tests/cold_permits_test.cpp
+++ b/packages/gateway/tests/cold_permits_test.cpp
@@ -300,6 +300,32 @@
   CHECK(DrainSends().empty());
 }
 
+// Guards against requests that wait for their whole deadline although the
+// permits of this host rest for longer.
+TEST_CASE_METHOD(cold_fixture, "Service_PermitsFreeTooLate_IsRefusedAtOnce") {
+  RegisterWarm("a-1");
+  for (int i = 0; i < 20; ++i) {  // Answers usually take 5 ms.
+    Request("/read/1");
+    AdvanceTime(milliseconds(5));
+    for (const auto& one : SendsTo("a-1")) Reply(one, Success(one));
+  }
+  AdvanceTime(seconds(2));
+  RegisterCold("a-1");
+  for (int i = 0; i < 2; ++i) Request("/read/1");
+  const auto first = SendsTo("a-1");
+  REQUIRE(first.size() == 2);
+  const exchange_id refused = Request("/read/1", milliseconds(900));
+  REQUIRE(AnswerOf(refused) != nullptr);
+  CHECK(AnswerOf(refused)->status == 503);
+  CHECK(AnswerOf(refused)->retry_after > duration{});
+  Reply(first[0], Success(first[0]));
+  AdvanceTime(milliseconds(500));
+  const exchange_id waits = Request("/read/1", milliseconds(9000));
+  CHECK(AnswerOf(waits) == nullptr);
+  AdvanceTime(milliseconds(500));
+  CHECK(SendsTo("a-1").size() == 1);
+}
+
 // Guards against repeats that reach a cold leaf without a permit.
 TEST_CASE_METHOD(cold_fixture, "Repeat_ColdLeafWithoutPermit_IsNotSentThere") {
   Start(1, {{host_id{1}, 500, false, false},
