--- a/packages/gateway/tests/flood_simulation.cpp
+++ b/packages/gateway/tests/flood_simulation.cpp
@@ -16,6 +16,10 @@
 
 std::string ZoneName(std::uint32_t zone) { return "z" + std::to_string(zone); }
 
+std::string RegionName(const flood_setup& setup, std::uint32_t zone) {
+  return "z" + std::to_string(zone / setup.zones_per_region);
+}
+
 /** Time of a leaf to accept a connection. */
 constexpr duration kHandshake = std::chrono::milliseconds(6);
 
@@ -37,6 +41,7 @@
   return times[std::min(index, times.size() - 1)];
 }
 
+static int g_started[3], g_useful[3];
 /** A simulated leaf. */
 struct flood_simulation::leaf {
   /** A request, with the host and call that its answer belongs to. */
@@ -54,9 +59,15 @@
     std::deque<send_leaf_effect> waiting;  ///< For a free connection.
   };
   leaf_record record;
+  std::string region;
   std::map<std::size_t, pool> pools;  ///< By host.
   std::uint32_t connections = 0;      ///< Of all hosts.
   std::uint32_t running = 0;
+  int started = 0;
+  int q = 0;
+  duration busy{};
+  double work_factor = 1;  ///< Duration of its work relative to the usual one.
+  duration pause_phase{};  ///< Distance of its first pause from the epoch.
   std::deque<job> waiting;
   std::vector<std::pair<std::size_t, leaf_call>> at_work;
 };
@@ -64,6 +75,7 @@
 struct flood_simulation::host {
   std::unique_ptr<gateway> core;
   std::string zone;
+  std::string region;
   std::unique_ptr<fleet_view> fleet;
   time_point wake_at = kNever;
   std::vector<event> inbox;
@@ -85,6 +97,7 @@
   began_ = now_;
   BuildHosts();
   BuildLeafs();
+  VaryLeafs();
   if (setup_.cold_start) {
     Schedule(now_ + setup_.join_time, [this] {
       for (std::size_t i = 0; i < hosts_.size(); ++i) Reduce(i, Fleet(i, true));
@@ -128,14 +141,15 @@
 void flood_simulation::BuildHosts() {
   gateway_settings settings;
   for (std::uint32_t zone = 0; zone < setup_.zones; ++zone) {
-    settings.here.regions[ZoneName(zone)] = ZoneName(zone);
+    settings.here.regions[ZoneName(zone)] = RegionName(setup_, zone);
   }
   settings.repeats = {0.2, 52, seconds(10)};
   for (std::uint32_t i = 0; i < setup_.hosts; ++i) {
     auto fresh = std::make_unique<host>();
     fresh->zone = ZoneName(i % setup_.zones);
     settings.here.zone = fresh->zone;
-    settings.here.region = fresh->zone;
+    settings.here.region = RegionName(setup_, i % setup_.zones);
+    fresh->region = settings.here.region;
     fresh->core = std::make_unique<gateway>(settings);
     fresh->fleet = std::make_unique<fleet_view>(settings.here, PeerAddress(i),
                                                 entry_settings{});
@@ -162,7 +176,7 @@
     member.caller_address = member.peer_address;
     member.ref.host = HostIdOf(member.peer_address);
     member.zone = hosts_[i]->zone;
-    member.region = hosts_[i]->zone;
+    member.region = hosts_[i]->region;
     member.capacity = i < EntryHosts() ? 500 : 100;
     member.ready = true;
     members.push_back(member);
@@ -172,7 +186,8 @@
 
 fleet_event flood_simulation::Fleet(std::size_t host, bool knows_others) {
   if (!setup_.cold_start) {
-    const std::uint32_t near = std::max(setup_.hosts / setup_.zones, 1u);
+    const std::uint32_t near =
+        std::max(setup_.hosts * setup_.zones_per_region / setup_.zones, 1u);
     const std::uint32_t far = setup_.hosts - near;
     return {setup_.hosts, setup_.hosts, true, {near, far}, {near, far}};
   }
@@ -186,15 +201,22 @@
   std::vector<registry_change> changes;
   std::uint64_t revision = 0;
   for (const flood_kind& kind : setup_.kinds) {
+    const std::uint32_t usual = setup_.leafs > 0 ? setup_.leafs : setup_.zones;
+    const std::uint32_t count = kind.leafs > 0 ? kind.leafs : usual;
+    const std::uint32_t step = std::max(setup_.zones / count, 1u);
+    std::uint32_t first_zone = 0;
     for (const std::string& service : kind.services) {
-      for (std::uint32_t zone = 0; zone < setup_.zones; ++zone) {
+      ++first_zone;
+      for (std::uint32_t i = 0; i < count; ++i) {
+        const std::uint32_t zone = (first_zone - 1 + i * step) % setup_.zones;
         auto fresh = std::make_unique<leaf>();
-        fresh->record.instance = service + "@" + ZoneName(zone);
+        fresh->record.instance = service + "@" + std::to_string(i);
+        fresh->region = RegionName(setup_, zone);
         fresh->record.service = service;
         fresh->record.address =
             "10.0.0.2:" + std::to_string(1000 + leafs_.size());
         fresh->record.zone = ZoneName(zone);
-        fresh->record.slots = setup_.slots;
+        fresh->record.slots = kind.slots > 0 ? kind.slots : setup_.slots;
         const std::string instance = fresh->record.instance;
         if (leafs_.contains(instance)) continue;
         changes.push_back({instance, ++revision, fresh->record, false});
@@ -231,6 +253,29 @@
     const double rate = setup_.kinds[kind].per_second * factors[kind];
     if (rate > 0) ScheduleArrival(kind, rate, end);
   }
+  RunUntil(end);
+  if (getenv("DBG")) {
+    std::map<std::string, std::string> by;
+    for (auto& [n, l] : leafs_) {
+      char b[200];
+      snprintf(b, 200, "  %s f=%.2f util %.2f q %.1f conns %u",
+               l->record.zone.c_str(), l->work_factor,
+               Seconds(l->busy) / l->record.slots / Seconds(end - counts_from_),
+               l->started ? double(l->q) / l->started : 0, l->connections);
+      by[l->record.service] += b;
+    }
+    for (auto& [n, t] : by) printf("%s %s\n", n.c_str(), t.c_str());
+    for (int k = 0; k < 3; k++)
+      printf("kind %d started %d useful %.3f\n", k, g_started[k],
+             double(g_useful[k]) / g_started[k]);
+    for (auto& h : hosts_) {
+      auto& c = h->core->Counters();
+      printf("host hedges %lu retries %lu sheds %lu fails %lu queued %lu | ref",
+             c.hedges, c.retries, c.leaf_sheds, c.leaf_failures, c.queued);
+      for (int i = 0; i < 11; i++) printf(" %lu", c.refused[i]);
+      puts("");
+    }
+  }
   RunUntil(end + seconds(4));
   return results_;
 }
@@ -282,7 +327,14 @@
   request->path = "/" + kind_setup.name + "/x";
   request->target = request->path;
   request->remaining_time = kind_setup.time_limit - (now_ - began);
-  Reduce(host, request_event{exchange_id{id}, request});
+  const request_event input{exchange_id{id}, request};
+  if (setup_.client_one_way == duration{}) {
+    Reduce(host, input);
+    return;
+  }
+  request->round_trip = 2 * setup_.client_one_way;
+  Schedule(now_ + setup_.client_one_way,
+           [this, host, input] { Reduce(host, input); });
 }
 
 void flood_simulation::Reduce(std::size_t index, event input) {
@@ -318,7 +370,8 @@
 }
 
 duration flood_simulation::Distance(const host& from, const leaf& to) const {
-  return from.zone == to.record.zone ? setup_.near_one_way : setup_.one_way;
+  if (from.zone == to.record.zone) return setup_.near_one_way;
+  return from.region == to.region ? setup_.region_one_way : setup_.one_way;
 }
 
 /** Work of a leaf for one part, uniform between 0.5 and 1.5 times the mean. */
@@ -327,6 +380,60 @@
   return duration(static_cast<duration::rep>(mean / 2 + random_.Below(mean)));
 }
 
+/** Draws the speed and the time of the pauses of each leaf, independently, so
+ *  that shards have none, one or more slow leafs. */
+void flood_simulation::VaryLeafs() {
+  const leaf_variation& variation = setup_.variation;
+  for (auto& [instance, one] : leafs_) {
+    if (variation.spread > 0) {
+      one->work_factor += variation.spread * (2 * random_.Unit() - 1);
+    }
+    if (variation.pause_period > duration{}) {
+      one->pause_phase = duration(static_cast<duration::rep>(random_.Below(
+          static_cast<std::uint64_t>(variation.pause_period.count()))));
+    }
+    const bool slow =
+        one->record.service == variation.slow_service ||
+        (variation.slow_share > 0 && random_.Unit() < variation.slow_share);
+    if (slow) one->work_factor *= variation.slow_factor;
+  }
+}
+
+/** Time at which a leaf has done some work that it starts now. */
+time_point flood_simulation::EndOfWork(const leaf& one, duration work) const {
+  const duration period = setup_.variation.pause_period;
+  const duration pause = setup_.variation.pause_length;
+  duration left(static_cast<duration::rep>(static_cast<double>(work.count()) *
+                                           one.work_factor));
+  if (period == duration{}) return now_ + left;
+  time_point at = now_;
+  duration in_period = (at.time_since_epoch() + one.pause_phase) % period;
+  if (in_period < pause) {
+    at += pause - in_period;
+    in_period = pause;
+  }
+  while (left > period - in_period) {
+    left -= period - in_period;
+    at += period - in_period + pause;
+    in_period = pause;
+  }
+  return at + left;
+}
+
+std::map<std::string, double> flood_simulation::ServiceCapacity() const {
+  const leaf_variation& variation = setup_.variation;
+  const double running = variation.pause_period == duration{}
+                             ? 1
+                             : 1 - Seconds(variation.pause_length) /
+                                       Seconds(variation.pause_period);
+  std::map<std::string, double> capacity;
+  for (const auto& [instance, one] : leafs_) {
+    capacity[one->record.service] +=
+        one->record.slots * running / one->work_factor;
+  }
+  return capacity;
+}
+
 /** Opens a connection. @return False when the leaf is at its limit. */
 bool flood_simulation::Open(leaf& to, std::size_t host) {
   const bool stale = now_ < began_ + setup_.stale_time;
@@ -385,7 +492,7 @@
   job.stop_at = now_ + effect.remaining_time;
   Schedule(now_ + delay, [this, &to, job] {
     if (!hosts_[job.host]->leafs.contains(job.call)) return;  // Canceled.
-    if (to.running >= setup_.slots && to.waiting.size() >= setup_.queue) {
+    if (to.running >= to.record.slots && to.waiting.size() >= setup_.queue) {
       leaf_answer refusal;
       refusal.status = 503;
       refusal.not_run = true;
@@ -403,13 +510,19 @@
 }
 
 void flood_simulation::StartWork(leaf& one) {
-  while (one.running < setup_.slots && !one.waiting.empty()) {
+  while (one.running < one.record.slots && !one.waiting.empty()) {
     const leaf::job job = one.waiting.front();
     one.waiting.pop_front();
     if (now_ >= job.stop_at) continue;
     ++one.running;
+    if (now_ >= counts_from_) {
+      one.started++;
+      g_started[job.kind]++;
+      one.busy += EndOfWork(one, setup_.kinds[job.kind].work) - now_;
+      one.q += one.waiting.size();
+    }
     one.at_work.emplace_back(job.host, job.call);
-    Schedule(now_ + Work(job.kind), [this, &one, job] {
+    Schedule(EndOfWork(one, Work(job.kind)), [this, &one, job] {
       const auto found = std::find(one.at_work.begin(), one.at_work.end(),
                                    std::pair(job.host, job.call));
       if (found == one.at_work.end()) return;  // The request was canceled.
@@ -477,11 +590,17 @@
   const client_answer& answer = effect.answer;
   if (answer.status == 200) {
     if (!counts) return;
-    const duration latency = now_ - one.arrived;
+    const duration latency = now_ - one.arrived + setup_.client_one_way;
     result.times.push_back(latency);
     const auto shards = static_cast<double>(kind.services.size());
     const double covered = 1 - answer.missing_parts / shards;
-    if (latency <= kind.objective) result.on_time += covered * covered;
+    if (latency > kind.objective) {
+      ++result.late;
+      return;
+    }
+    g_useful[one.kind] += int(covered * shards + .5);
+    result.on_time += covered * covered;
+    if (one.is_retry) result.returned_on_time += covered * covered;
     return;
   }
   if (counts) result.refusal_times.push_back(now_ - one.arrived);
@@ -489,9 +608,11 @@
   const duration pause =
       std::min(answer.retry_after.value_or(duration{}), left / 3);
   if (!one.is_retry && left > duration{}) {
-    Schedule(now_ + pause, [this, kind = one.kind, began = one.began] {
-      Arrive(kind, began, true);
-    });
+    if (counts) ++result.first_refusals;
+    Schedule(now_ + setup_.client_one_way + pause,
+             [this, kind = one.kind, began = one.began] {
+               Arrive(kind, began, true);
+             });
     return;
   }
   if (counts) ++result.refused;
--- a/packages/gateway/tests/flood_simulation.h
+++ b/packages/gateway/tests/flood_simulation.h
@@ -29,16 +29,36 @@
   double per_second = 0;   ///< Usual rate of all clients together.
   std::vector<std::string> services;  ///< Shards, or one service.
   double min_shard_ratio = 0;         ///< 0 for a plain request.
+  std::uint32_t slots = 0;            ///< Of its leafs; 0 for the usual number.
+  std::uint32_t leafs = 0;            ///< Of each service; likewise.
+  double value = 1;                   ///< Of an answer in time.
+  double late_value = 0;              ///< Of an answer that is late.
+};
+
+/** Differences between the leafs. */
+struct leaf_variation {
+  double spread = 0;      ///< Work differs by up to this share between leafs.
+  double slow_share = 0;  ///< Share of the leafs of each kind that are slow.
+  std::string slow_service;  ///< All leafs of this service are slow.
+  double slow_factor = 3;    ///< How much longer a slow leaf works.
+  duration pause_length{};   ///< A leaf stops working for this long.
+  duration pause_period{};   ///< Time between pauses; 0 for no pauses.
 };
 
 /** Deployment of the simulation. */
 struct flood_setup {
-  std::uint32_t hosts = 3;   ///< Gateways, assigned to the zones round robin.
-  std::uint32_t zones = 3;   ///< Each zone has a leaf of each service.
+  std::uint32_t hosts = 3;  ///< Gateways, assigned to the zones round robin.
+  std::uint32_t zones = 3;  ///< Each zone has a leaf of each service.
+  std::uint32_t zones_per_region = 1;
+  std::uint32_t leafs = 0;   ///< Of each service; 0 for one in each zone.
   std::uint32_t slots = 2;   ///< Concurrent requests of a leaf.
   std::uint32_t queue = 12;  ///< Queue length of a leaf.
   std::uint32_t max_connections = 25;  ///< Connection limit of a leaf.
-  duration one_way = std::chrono::milliseconds(12);  ///< Latency between zones.
+  duration one_way =
+      std::chrono::milliseconds(12);  ///< Latency between regions.
+  duration region_one_way{};          ///< Latency between zones of a region.
+  duration client_one_way{};          ///< 0 if hosts do not know it.
+  leaf_variation variation;
   duration near_one_way =
       std::chrono::microseconds(200);  ///< Latency within a zone.
   std::vector<flood_kind> kinds;       ///< All kinds of requests.
@@ -57,6 +77,10 @@
   std::uint64_t offered = 0;  ///< First attempts.
   std::uint64_t refused = 0;  ///< Requests that ended without success.
   double on_time = 0;  ///< On-time successes, weighted by squared coverage.
+  double returned_on_time = 0;  ///< The part of `on_time` that was served at
+                                ///< the second attempt.
+  std::uint64_t late = 0;       ///< Successes after the objective.
+  std::uint64_t first_refusals = 0;     ///< First attempts that were refused.
   std::vector<duration> times;          ///< Latencies of all successes.
   std::vector<duration> refusal_times;  ///< From the attempt to its refusal.
 
@@ -102,6 +126,10 @@
   /** Maximum rate per second of one kind alone. */
   double Capacity(std::size_t kind) const;
 
+  /** Time that the leafs of each service can work per second, in units of the
+   *  usual work: more for fast leafs, less for pauses and slow leafs. */
+  std::map<std::string, double> ServiceCapacity() const;
+
   /** Share of the leafs' capacity used for on-time answers. */
   double Goodput(const std::vector<flood_result>& results,
                  duration length) const;
@@ -149,6 +177,8 @@
   void StartWork(leaf& one);
   duration Distance(const host& from, const leaf& to) const;
   duration Work(std::size_t kind);
+  void VaryLeafs();
+  time_point EndOfWork(const leaf& one, duration work) const;
 
   flood_setup setup_;
   random_source random_;
