Refuse what cannot be answered in time, by the leafs and the waiting parts

Cause: load shedding knew only the parts that wait in this host. With 30% slow leafs a third of the queries was late: the 12 hosts together filled the queue of each slow leaf, because each may always have one request open and its window grew by several requests before the first answer came back. Late parts took leafs from parts that could be on time.

Change: the estimate of a request is that of its deciding part, from the wait in the queue and the predicted latency of the leafs that leaf_selector offers. It applies only while parts wait or waited within 150 ms. Late parts are sent only where no part that can be on time waits or waited recently. A rank that was served more often than a more urgent one of the same services yields, down to a guaranteed share. The window of a slow leaf grows by one request in four of its latencies, shrinks in proportion to its queue, and may be below one request for hosts of other regions.

--- a/packages/gateway/admission/part_queue.cpp
+++ b/packages/gateway/admission/part_queue.cpp
@@ -23,6 +23,10 @@
  *  that is, calls of NextFloorPart(). */
 constexpr std::uint32_t kFloorTurns = 10;
 
+/** How long late parts stay behind after a part that could be on time waited:
+ *  the next one usually follows within this time while leafs are full. */
+constexpr duration kContentionTime = std::chrono::milliseconds(150);
+
 duration Scale(duration one, double count) {
   return duration(
       static_cast<duration::rep>(static_cast<double>(one.count()) * count));
@@ -36,6 +40,12 @@
     if (interval_ == duration{}) interval_ = usual;
   }
   waiting_.insert(part);
+  if (!part.late) contended_at_ = now;
+}
+
+bool part_queue::HasSpareRoom(time_point now) const {
+  const bool on_time_waits = !waiting_.empty() && !waiting_.begin()->late;
+  return !on_time_waits && now >= contended_at_ + kContentionTime;
 }
 
 void part_queue::Remove(const waiting_part& part) { waiting_.erase(part); }
@@ -73,7 +83,8 @@
   if (++turns_ < kFloorTurns || waiting_.empty()) return std::nullopt;
   turns_ = 0;
   const waiting_part& first = *waiting_.begin();
-  const auto lower = waiting_.lower_bound({first.late, first.rank + 1, 0, 0});
+  const auto lower =
+      waiting_.lower_bound({first.late, first.rank + 1, false, 0, 0});
   if (lower == waiting_.end() || lower->late) return std::nullopt;
   return *lower;
 }
@@ -88,7 +99,8 @@
                                   time_point now) const {
   const auto end = waiting_.lower_bound(part);
   const auto ahead = static_cast<double>(std::distance(waiting_.begin(), end));
-  const auto rank_begin = waiting_.lower_bound({part.late, part.rank, 0, 0});
+  const auto rank_begin =
+      waiting_.lower_bound({part.late, part.rank, false, 0, 0});
   const auto same_rank = static_cast<double>(std::distance(rank_begin, end));
   // The minimum share of its rank may serve the part before all parts ahead of
   // it are served.
--- a/packages/gateway/admission/part_queue.h
+++ b/packages/gateway/admission/part_queue.h
@@ -17,6 +17,7 @@
 struct waiting_part {
   bool late = false;           ///< The latency objective has passed.
   std::uint32_t rank = 0;      ///< 0 is the most urgent.
+  bool fresh = true;           ///< Its client does not return after a refusal.
   std::uint64_t exchange = 0;  ///< Sequence number of the request.
   std::size_t part = 0;        ///< Index of the part in the request.
 
@@ -41,6 +42,10 @@
   /** True when parts wait and the first is less urgent than `rank`. */
   bool HoldsOnlyLessUrgent(std::uint32_t rank) const;
 
+  /** True when late parts may be sent: no part that can be on time waits now or
+   *  has waited recently. */
+  bool HasSpareRoom(time_point now) const;
+
   /** A leaf of the service became free. */
   void OnLeafFree(time_point now);
 
@@ -62,7 +67,8 @@
   std::set<waiting_part> waiting_;
   duration interval_{};  ///< Average time between answers while parts wait.
   time_point last_free_{};
-  std::uint32_t turns_ = 0;  ///< Dispatch rounds since a lower rank was due.
+  time_point contended_at_{};  ///< When a part that can be on time last waited.
+  std::uint32_t turns_ = 0;    ///< Dispatch rounds since a lower rank was due.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -29,6 +29,8 @@
 struct gateway_settings {
   location here;            ///< Zone and region of this host.
   repeat_settings repeats;  ///< Ratio, window, and slack of the whole fleet.
+  bool returned_first = false;    ///< Parts of clients that return after a
+                                  ///< refusal go before others of their rank.
   leaf_directory_settings leafs;  ///< Timing of leaving leafs.
   duration client_network_time =
       std::chrono::milliseconds(14);  ///< Part of the objective for the network
@@ -120,8 +122,10 @@
                          time_point now);
   void Send(exchange& pending, std::size_t index, std::size_t candidate,
             send_cause cause, time_point now);
-  static waiting_part QueuePosition(const exchange& pending, std::size_t index);
+  waiting_part QueuePosition(const exchange& pending, std::size_t index) const;
   bool QueuePart(exchange& pending, std::size_t index, time_point now);
+  queue_estimate EstimatePart(const exchange& pending, std::size_t index,
+                              time_point now);
   request_estimate EstimateWait(const exchange& pending, time_point now);
   void DispatchWaiting(service_state& service, time_point now);
   void DispatchPart(const waiting_part& position, time_point now);
@@ -141,6 +145,7 @@
   duration TimeOutsideHost(const exchange& pending);
   void Begin(exchange& pending, time_point now);
   bool StartParts(exchange& pending, time_point now);
+  bool Admit(exchange& pending, time_point now);
   bool EnoughLeafs(const exchange& pending, time_point now) const;
   void FinishPlain(exchange& pending, time_point now);
   void FinishGather(exchange& pending, time_point now);
@@ -149,6 +154,7 @@
   void HandleFailure(exchange& pending, std::size_t index, bool ran,
                      time_point now);
   static void DropNeedlessRecords(const exchange& pending, part& piece);
+  static std::string DecidingService(const exchange& pending);
   static std::string MissingParts(const exchange& pending);
   void LogAbandoned(const exchange& pending, time_point now);
   void Answer(exchange& pending, client_answer answer, time_point now);
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -178,6 +178,8 @@
   pending.deadline =
       pending.arrived +
       std::min(pending.request->remaining_time.value_or(limit), limit);
+  pending.returned =
+      HasReturned(pending.request->remaining_time.value_or(limit), limit);
   // Its leaf could still work on it when this host exits, and its client could
   // not learn whether it ran. Another host can serve it in its whole time.
   if (!pending.Idempotent() && pending.deadline > finish_at_) {
@@ -226,8 +228,21 @@
     RefuseFailed(pending, refusal_cause::no_leaf, now);
     return false;
   }
-  const request_estimate estimate = EstimateWait(pending, now);
-  pending.expected_wait = estimate.wait;
+  if (!Admit(pending, now)) return false;
+  for (std::size_t i = 0; i < pending.parts.size(); ++i) {
+    Place(pending, i, send_cause::first, now);
+  }
+  Schedule(pending, pending.objective_at);
+  Schedule(pending, pending.deadline);
+  return true;
+}
+
+/** Refuses a request that cannot be answered in time, or whose rank was served
+ *  more often than a more urgent one while leafs are full. */
+bool gateway::Admit(exchange& pending, time_point now) {
+  if (pending.returned) ++counters_.returned;
+  pending.estimate = EstimateWait(pending, now);
+  const request_estimate& estimate = pending.estimate;
   // A request that this host held while it started is served even if it is late
   // by now: its client cannot get an earlier answer anywhere.
   const bool was_held = now > pending.arrived;
@@ -235,17 +250,22 @@
       was_held ? pending.deadline : pending.objective_at;
   const duration usual = pending.stats->TailLatency(
       settings_.here.zone, settings_.here, pending.matched->objective, now);
-  if (!IsWorthQueueing(estimate, usual, useful_until - now)) {
-    Refuse(pending, refusal_cause::overloaded,
-           retry_schedule_.Next(estimate, now), now);
-    return false;
-  }
-  for (std::size_t i = 0; i < pending.parts.size(); ++i) {
-    Place(pending, i, send_cause::first, now);
+  const bool in_time = IsWorthQueueing(estimate, usual, useful_until - now);
+  const bool yields = std::any_of(
+      pending.parts.begin(), pending.parts.end(), [&](const part& piece) {
+        return !piece.service->queue.HasSpareRoom(now) &&
+               piece.service->shares.Yields(pending.matched->rank, now);
+      });
+  const bool admitted = in_time && !yields;
+  for (const part& piece : pending.parts) {
+    piece.service->shares.Add(pending.matched->rank, admitted, now);
   }
-  Schedule(pending, pending.objective_at);
-  Schedule(pending, pending.deadline);
-  return true;
+  if (admitted) return true;
+  ++(in_time ? counters_.refused_for_rank : counters_.refused_late);
+  if (pending.returned) ++counters_.returned_refused;
+  Refuse(pending, refusal_cause::overloaded,
+         retry_schedule_.Next(estimate, now), now);
+  return false;
 }
 
 void gateway::Schedule(exchange& pending, time_point at) {
@@ -454,7 +474,10 @@
        {"elapsed_us", Micros(now - pending.arrived)},
        {"left_us",
         pending.matched == nullptr ? "" : Micros(pending.deadline - now)},
-       {"wait_us", Micros(pending.expected_wait)},
+       {"wait_us", Micros(pending.estimate.wait)},
+       {"finish_us", Micros(pending.estimate.Finish())},
+       {"decides", DecidingService(pending)},
+       {"returned", pending.returned ? "yes" : "no"},
        {"retry_after_us", Micros(retry_after)},
        {"parts", std::to_string(pending.parts.size())},
        {"answered", std::to_string(answered)},
@@ -463,6 +486,12 @@
   Answer(pending, std::move(answer), now);
 }
 
+/** Service that decided when the request could be answered. */
+std::string gateway::DecidingService(const exchange& pending) {
+  const std::size_t index = pending.estimate.part;
+  return index < pending.parts.size() ? pending.parts[index].service->name : "";
+}
+
 /** Unanswered services, each with the state of its part. */
 std::string gateway::MissingParts(const exchange& pending) {
   constexpr std::string_view kPhases[] = {"unsent", "waiting", "open",
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -77,7 +77,14 @@
     return;
   }
   CollectCandidates(pending, piece, now);
-  const leaf_choice choice = selector_.Choose(pending.objective_at - now);
+  leaf_choice choice = selector_.Choose(pending.objective_at - now);
+  // A late part only uses room that no other part needs.
+  const bool yields =
+      now >= pending.objective_at && !piece.service->queue.HasSpareRoom(now);
+  if (yields && choice.outcome == choice_outcome::chosen) {
+    choice.outcome = choice_outcome::full;
+    ++counters_.late_parts_held;
+  }
   if (choice.outcome == choice_outcome::chosen) {
     Send(pending, index, choice.index, cause, now);
     return;
@@ -195,9 +202,10 @@
 }
 
 waiting_part gateway::QueuePosition(const exchange& pending,
-                                    std::size_t index) {
+                                    std::size_t index) const {
   return {pending.parts[index].queued_late, pending.matched->rank,
-          pending.arrival, index};
+          !(settings_.returned_first && pending.returned), pending.arrival,
+          index};
 }
 
 /**
@@ -227,13 +235,37 @@
   return true;
 }
 
-/** Expected wait of a request that arrives now. */
+/** Estimate of one part, from the leafs that may get it and the waiting parts.
+ */
+queue_estimate gateway::EstimatePart(const exchange& pending, std::size_t index,
+                                     time_point now) {
+  const part& piece = pending.parts[index];
+  queue_estimate estimate =
+      piece.service->queue.Estimate(QueuePosition(pending, index), now);
+  estimate.part = index;
+  CollectCandidates(pending, piece, now);
+  const leaf_choice choice = selector_.Choose(pending.objective_at - now);
+  if (choice.outcome == choice_outcome::chosen) {
+    estimate.wait = {};
+    estimate.answer = PredictLatency(selector_.Candidates()[choice.index]);
+  } else {
+    estimate.answer = selector_.BestLatency();
+  }
+  return estimate;
+}
+
+/** Estimate of a request that arrives now. Nothing is estimated while no part
+ *  waits or waited recently: leafs have room then. */
 request_estimate gateway::EstimateWait(const exchange& pending,
                                        time_point now) {
+  const bool contended = std::any_of(
+      pending.parts.begin(), pending.parts.end(), [&](const part& piece) {
+        return !piece.service->queue.HasSpareRoom(now);
+      });
+  if (!contended) return {};
   queue_estimates_.clear();
   for (std::size_t i = 0; i < pending.parts.size(); ++i) {
-    queue_estimates_.push_back(pending.parts[i].service->queue.Estimate(
-        QueuePosition(pending, i), now));
+    queue_estimates_.push_back(EstimatePart(pending, i, now));
   }
   const auto shards = static_cast<double>(pending.parts.size());
   const double spare = pending.matched->Gathers()
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -38,9 +38,10 @@
   time_point objective_at{};
   time_point deadline{};
   std::vector<part> parts;
-  std::vector<leaf_call> calls;  ///< In flight.
-  duration expected_wait{};      ///< Expected queueing time at arrival; logged.
-  bool may_have_run = false;     ///< A leaf may have started to run it.
+  std::vector<leaf_call> calls;        ///< In flight.
+  request_estimate estimate;           ///< At arrival; logged.
+  bool returned = false;               ///< Its client returns after a refusal.
+  bool may_have_run = false;           ///< A leaf may have started to run it.
   std::optional<leaf_answer> failure;  ///< Latest error that may be forwarded.
 
   bool Idempotent() const {
@@ -66,7 +67,8 @@
   std::string name;
   std::uint32_t max_connections = 0;
   repeat_budget budget;
-  part_queue queue;  ///< Parts that wait for a leaf with capacity.
+  part_queue queue;    ///< Parts that wait for a leaf with capacity.
+  rank_shares shares;  ///< Of the requests that arrived.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -205,8 +205,13 @@
   std::uint64_t repeats_denied = 0;  ///< Repeats denied by the budget.
   std::uint64_t leaf_sheds =
       0;  ///< Answers of leafs that did not run the request.
-  std::uint64_t leaf_failures = 0;             ///< Failed leaf requests.
-  std::uint64_t queued = 0;                    ///< Parts that were queued.
+  std::uint64_t leaf_failures = 0;     ///< Failed leaf requests.
+  std::uint64_t queued = 0;            ///< Parts that were queued.
+  std::uint64_t refused_late = 0;      ///< Could not be answered in time.
+  std::uint64_t refused_for_rank = 0;  ///< A more urgent rank was refused.
+  std::uint64_t returned = 0;          ///< Requests of returning clients.
+  std::uint64_t returned_refused = 0;  ///< Of these, refused on arrival.
+  std::uint64_t late_parts_held = 0;   ///< Late parts kept from free leafs.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
 
--- a/packages/gateway/leafs/concurrency_window.cpp
+++ b/packages/gateway/leafs/concurrency_window.cpp
@@ -27,12 +27,17 @@
 constexpr double kMaxCountedDelay = 4;
 
 /** When a queue or a refusal shows, the window shrinks to this fraction of its
- *  limit or of the open requests, whichever is smaller. */
+ *  limit or of the open requests, whichever is smaller; in proportion to the
+ *  excess for a long queue. */
 constexpr double kQueueShrinkFactor = 0.75;
 constexpr double kRefusalShrinkFactor = 0.5;
 
-/** The window grows by one request in this time. */
+/** The window grows by one request in this time, or in this many latencies of
+ *  a leaf with a queue: with a fixed period, each host adds several requests
+ *  before the first answer shows their effect, and the queue stays full. */
 constexpr duration kGrowthPeriod = std::chrono::milliseconds(250);
+constexpr int kGrowthLatencies = 4;
+constexpr duration kMaxGrowthPeriod = std::chrono::seconds(1);
 
 /** The limit ends after the window has grown by this many requests. */
 constexpr double kMaxGrowth = 20;
@@ -61,11 +66,18 @@
       std::max(duration{}, sample.latency - sample.unloaded).count());
   const double counted = std::min(waited, kMaxCountedDelay * work_us_);
   delay_us_ += kSampleWeight * (counted - delay_us_);
-  if (delay_us_ > kQueueThreshold * work_us_)
-    Shrink(sample.open, kQueueShrinkFactor, now);
+  const double tolerated = kQueueThreshold * work_us_;
+  if (delay_us_ <= tolerated) {
+    growth_period_ = std::min(growth_period_, kGrowthPeriod);
+    return;
+  }
+  growth_period_ = std::clamp(sample.latency * kGrowthLatencies, kGrowthPeriod,
+                              kMaxGrowthPeriod);
+  Shrink(sample.open, std::min(tolerated / delay_us_, kQueueShrinkFactor), now);
 }
 
 void concurrency_window::OnRefusal(std::uint32_t open, time_point now) {
+  growth_period_ = std::max(growth_period_, kGrowthPeriod);
   Shrink(open, kRefusalShrinkFactor, now);
 }
 
@@ -85,7 +97,7 @@
 
 double concurrency_window::Limit(time_point now) const {
   if (limit_ == 0) return kUnlimited;
-  const double growth = Ratio(now - shrunk_at_, kGrowthPeriod);
+  const double growth = Ratio(now - shrunk_at_, growth_period_);
   return growth > kMaxGrowth ? kUnlimited : limit_ + growth;
 }
 
--- a/packages/gateway/leafs/concurrency_window.h
+++ b/packages/gateway/leafs/concurrency_window.h
@@ -42,6 +42,7 @@
 
   double limit_ = 0;  ///< Value at shrunk_at_; 0 means no limit.
   time_point shrunk_at_{};
+  duration growth_period_{};  ///< Time in which it grows by one request.
   time_point observed_at_{};  ///< Last answer that was used as a sample.
   double delay_us_ = 0;       ///< Average queueing delay.
   double work_us_ = 0;        ///< Average work per request.
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -36,8 +36,10 @@
   if (now < started_ + kStartupPeriod) {
     share = std::max(share / kStartupDivisor, std::min(share, min_limit));
   }
+  // A host of another region waits until its window allows a request: all of
+  // them together would otherwise fill the queue of a slow leaf.
   const double window =
-      std::max<double>(leaf.monitor.Window().Limit(now), min_limit);
+      std::max<double>(leaf.monitor.Window().Limit(now), near ? min_limit : 0);
   if (window < share) share = static_cast<std::uint32_t>(window);
   // Open requests at a stalled leaf are late already; more would only queue.
   if (leaf.monitor.Stalled(now)) {
@@ -112,6 +114,10 @@
   return ChooseLeaf(candidates_, time_left);
 }
 
+duration leaf_selector::BestLatency() const {
+  return NextBestLatency(candidates_.size());
+}
+
 duration leaf_selector::NextBestLatency(std::size_t chosen) const {
   duration best = duration::max();
   for (std::size_t i = 0; i < candidates_.size(); ++i) {
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -53,6 +53,9 @@
   /** Predicted latency of the best other candidate; 0 without one. */
   duration NextBestLatency(std::size_t chosen) const;
 
+  /** Predicted latency of the best candidate; 0 without one. */
+  duration BestLatency() const;
+
   /** True when a leaf of a service may get requests of a route. */
   bool HasUsable(std::string_view service, const route& matched,
                  time_point now) const;
--- a/packages/gateway/tests/queueing_test.cpp
+++ b/packages/gateway/tests/queueing_test.cpp
@@ -33,7 +33,7 @@
 class queue_fixture {
  protected:
   static waiting_part Part(std::uint32_t rank, std::uint64_t exchange) {
-    return {false, rank, exchange, 0};
+    return {false, rank, true, exchange, 0};
   }
   void Add(std::uint32_t rank, std::uint64_t exchange) {
     queue_.Add(Part(rank, exchange), milliseconds(5), now_);
@@ -61,6 +61,14 @@
   CHECK(window_.Limit(now_) < 8);
 }
 
+// Guards against hosts that refill the queue of a slow leaf before an answer
+// shows their effect.
+TEST_CASE_METHOD(window_fixture, "Window_AnswersTakeLong_GrowsSlowly") {
+  for (int i = 0; i < 20; ++i) Answer(milliseconds(300), 2);
+  const double shrunk = window_.Limit(now_);
+  CHECK(window_.Limit(now_ + milliseconds(300)) < shrunk + 0.5);
+}
+
 // Guards against limiting a leaf because of a single slow answer.
 TEST_CASE_METHOD(window_fixture, "Window_OneSlowAnswer_HasNoLimit") {
   for (int i = 0; i < 20; ++i) Answer(milliseconds(12), 8);
@@ -148,6 +156,75 @@
   CHECK(IsWorthQueueing({}, milliseconds(200), milliseconds(130)));
 }
 
+// Guards against sending a query whose leafs answer too late although no part
+// waits in this host.
+TEST_CASE("Refusal_LeafsAnswerTooLate_IsNotWorthQueueing") {
+  queue_estimate estimate;
+  estimate.answer = milliseconds(300);
+  CHECK_FALSE(IsWorthQueueing(estimate, milliseconds(20), milliseconds(200)));
+  CHECK(IsWorthQueueing(estimate, milliseconds(20), milliseconds(300)));
+}
+
+// Guards against late parts that take leafs from parts that can be on time.
+TEST_CASE_METHOD(queue_fixture,
+                 "Queue_OnTimePartWaited_HasNoSpareRoomForLate") {
+  CHECK(queue_.HasSpareRoom(now_));
+  Add(1, 1);
+  CHECK_FALSE(queue_.HasSpareRoom(now_));
+  queue_.Remove(Part(1, 1));
+  CHECK_FALSE(queue_.HasSpareRoom(now_ + milliseconds(100)));
+  CHECK(queue_.HasSpareRoom(now_ + milliseconds(200)));
+}
+
+// Guards against late parts that never run.
+TEST_CASE_METHOD(queue_fixture, "Queue_OnlyLatePartsWait_HasSpareRoom") {
+  waiting_part late = Part(0, 1);
+  late.late = true;
+  queue_.Add(late, milliseconds(5), now_);
+  CHECK(queue_.HasSpareRoom(now_));
+}
+
+// Guards against a returning client that waits behind new ones where the order
+// is asked for, and against one that overtakes a more urgent request.
+TEST_CASE_METHOD(queue_fixture, "Queue_ClientReturned_GoesBeforeItsRankOnly") {
+  Add(1, 1);
+  Add(0, 2);
+  waiting_part returned = Part(1, 3);
+  returned.fresh = false;
+  queue_.Add(returned, milliseconds(5), now_);
+  REQUIRE(queue_.First()->exchange == 2);
+  CHECK(queue_.After(*queue_.First())->exchange == 3);
+}
+
+// Guards against taking the delay of a slow lookup for a refusal.
+TEST_CASE("Client_LessTimeThanRetryAfterGone_HasNotReturned") {
+  CHECK_FALSE(HasReturned(milliseconds(2500), milliseconds(2500)));
+  CHECK_FALSE(HasReturned(milliseconds(2460), milliseconds(2500)));
+  CHECK(HasReturned(milliseconds(2440), milliseconds(2500)));
+}
+
+// Guards against an urgent rank that is refused while others are served, and
+// against old refusals that still count.
+TEST_CASE("Shares_UrgentWasRefused_LessUrgentYieldsForAWhile") {
+  rank_shares shares;
+  for (int i = 0; i < 10; ++i) shares.Add(1, false, kStart);
+  for (int i = 0; i < 10; ++i) shares.Add(2, true, kStart);
+  CHECK(shares.Yields(2, kStart));
+  CHECK_FALSE(shares.Yields(1, kStart));
+  CHECK_FALSE(shares.Yields(2, kStart + seconds(2)));
+}
+
+// Guards against refused clients that all return at the latest time.
+TEST_CASE("Retry_ManyMoreRefusedThanServed_AreSpread") {
+  retry_schedule schedule;
+  const request_estimate estimate{milliseconds(100), milliseconds(10)};
+  int latest = 0;
+  for (int i = 0; i < 1000; ++i) {
+    if (schedule.Next(estimate, kStart) >= milliseconds(990)) ++latest;
+  }
+  CHECK(latest <= 30);
+}
+
 // Guards against refused clients that all retry at the same time.
 TEST_CASE("Retry_ManyRefused_AreSpacedAtTheRateOfLeafs") {
   retry_schedule schedule;
