Report why a request was refused on arrival

Cause: an operator could not tell a refusal by the estimate from one for a more urgent rank, nor which service decided.

The speed of the simulated leafs moves to tests/leaf_pace, and counters of a trial that were left in flood_simulation are removed.

--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -262,6 +262,7 @@
   }
   if (admitted) return true;
   ++(in_time ? counters_.refused_for_rank : counters_.refused_late);
+  pending.refused_because = in_time ? "rank" : "late";
   if (pending.returned) ++counters_.returned_refused;
   Refuse(pending, refusal_cause::overloaded,
          retry_schedule_.Next(estimate, now), now);
@@ -477,6 +478,7 @@
        {"wait_us", Micros(pending.estimate.wait)},
        {"finish_us", Micros(pending.estimate.Finish())},
        {"decides", DecidingService(pending)},
+       {"because", std::string(pending.refused_because)},
        {"returned", pending.returned ? "yes" : "no"},
        {"retry_after_us", Micros(retry_after)},
        {"parts", std::to_string(pending.parts.size())},
--- a/packages/gateway/tests/flood_simulation.cpp
+++ b/packages/gateway/tests/flood_simulation.cpp
@@ -41,7 +41,6 @@
   return times[std::min(index, times.size() - 1)];
 }
 
-static int g_started[3], g_useful[3];
 /** A simulated leaf. */
 struct flood_simulation::leaf {
   /** A request, with the host and call that its answer belongs to. */
@@ -63,11 +62,7 @@
   std::map<std::size_t, pool> pools;  ///< By host.
   std::uint32_t connections = 0;      ///< Of all hosts.
   std::uint32_t running = 0;
-  int started = 0;
-  int q = 0;
-  duration busy{};
-  double work_factor = 1;  ///< Duration of its work relative to the usual one.
-  duration pause_phase{};  ///< Distance of its first pause from the epoch.
+  leaf_pace pace;
   std::deque<job> waiting;
   std::vector<std::pair<std::size_t, leaf_call>> at_work;
 };
@@ -97,7 +92,9 @@
   began_ = now_;
   BuildHosts();
   BuildLeafs();
-  VaryLeafs();
+  for (auto& [instance, one] : leafs_) {
+    one->pace = leaf_pace(setup_.variation, one->record.service, random_);
+  }
   if (setup_.cold_start) {
     Schedule(now_ + setup_.join_time, [this] {
       for (std::size_t i = 0; i < hosts_.size(); ++i) Reduce(i, Fleet(i, true));
@@ -253,29 +250,6 @@
     const double rate = setup_.kinds[kind].per_second * factors[kind];
     if (rate > 0) ScheduleArrival(kind, rate, end);
   }
-  RunUntil(end);
-  if (getenv("DBG")) {
-    std::map<std::string, std::string> by;
-    for (auto& [n, l] : leafs_) {
-      char b[200];
-      snprintf(b, 200, "  %s f=%.2f util %.2f q %.1f conns %u",
-               l->record.zone.c_str(), l->work_factor,
-               Seconds(l->busy) / l->record.slots / Seconds(end - counts_from_),
-               l->started ? double(l->q) / l->started : 0, l->connections);
-      by[l->record.service] += b;
-    }
-    for (auto& [n, t] : by) printf("%s %s\n", n.c_str(), t.c_str());
-    for (int k = 0; k < 3; k++)
-      printf("kind %d started %d useful %.3f\n", k, g_started[k],
-             double(g_useful[k]) / g_started[k]);
-    for (auto& h : hosts_) {
-      auto& c = h->core->Counters();
-      printf("host hedges %lu retries %lu sheds %lu fails %lu queued %lu | ref",
-             c.hedges, c.retries, c.leaf_sheds, c.leaf_failures, c.queued);
-      for (int i = 0; i < 11; i++) printf(" %lu", c.refused[i]);
-      puts("");
-    }
-  }
   RunUntil(end + seconds(4));
   return results_;
 }
@@ -380,56 +354,10 @@
   return duration(static_cast<duration::rep>(mean / 2 + random_.Below(mean)));
 }
 
-/** Draws the speed and the time of the pauses of each leaf, independently, so
- *  that shards have none, one or more slow leafs. */
-void flood_simulation::VaryLeafs() {
-  const leaf_variation& variation = setup_.variation;
-  for (auto& [instance, one] : leafs_) {
-    if (variation.spread > 0) {
-      one->work_factor += variation.spread * (2 * random_.Unit() - 1);
-    }
-    if (variation.pause_period > duration{}) {
-      one->pause_phase = duration(static_cast<duration::rep>(random_.Below(
-          static_cast<std::uint64_t>(variation.pause_period.count()))));
-    }
-    const bool slow =
-        one->record.service == variation.slow_service ||
-        (variation.slow_share > 0 && random_.Unit() < variation.slow_share);
-    if (slow) one->work_factor *= variation.slow_factor;
-  }
-}
-
-/** Time at which a leaf has done some work that it starts now. */
-time_point flood_simulation::EndOfWork(const leaf& one, duration work) const {
-  const duration period = setup_.variation.pause_period;
-  const duration pause = setup_.variation.pause_length;
-  duration left(static_cast<duration::rep>(static_cast<double>(work.count()) *
-                                           one.work_factor));
-  if (period == duration{}) return now_ + left;
-  time_point at = now_;
-  duration in_period = (at.time_since_epoch() + one.pause_phase) % period;
-  if (in_period < pause) {
-    at += pause - in_period;
-    in_period = pause;
-  }
-  while (left > period - in_period) {
-    left -= period - in_period;
-    at += period - in_period + pause;
-    in_period = pause;
-  }
-  return at + left;
-}
-
 std::map<std::string, double> flood_simulation::ServiceCapacity() const {
-  const leaf_variation& variation = setup_.variation;
-  const double running = variation.pause_period == duration{}
-                             ? 1
-                             : 1 - Seconds(variation.pause_length) /
-                                       Seconds(variation.pause_period);
   std::map<std::string, double> capacity;
   for (const auto& [instance, one] : leafs_) {
-    capacity[one->record.service] +=
-        one->record.slots * running / one->work_factor;
+    capacity[one->record.service] += one->record.slots * one->pace.Speed();
   }
   return capacity;
 }
@@ -515,14 +443,8 @@
     one.waiting.pop_front();
     if (now_ >= job.stop_at) continue;
     ++one.running;
-    if (now_ >= counts_from_) {
-      one.started++;
-      g_started[job.kind]++;
-      one.busy += EndOfWork(one, setup_.kinds[job.kind].work) - now_;
-      one.q += one.waiting.size();
-    }
     one.at_work.emplace_back(job.host, job.call);
-    Schedule(EndOfWork(one, Work(job.kind)), [this, &one, job] {
+    Schedule(one.pace.EndOfWork(now_, Work(job.kind)), [this, &one, job] {
       const auto found = std::find(one.at_work.begin(), one.at_work.end(),
                                    std::pair(job.host, job.call));
       if (found == one.at_work.end()) return;  // The request was canceled.
@@ -598,7 +520,6 @@
       ++result.late;
       return;
     }
-    g_useful[one.kind] += int(covered * shards + .5);
     result.on_time += covered * covered;
     if (one.is_retry) result.returned_on_time += covered * covered;
     return;
--- a/packages/gateway/tests/flood_simulation.h
+++ b/packages/gateway/tests/flood_simulation.h
@@ -16,6 +16,7 @@
 #include "core/member_type.h"
 #include "core/random.h"
 #include "gateway/gateway.h"
+#include "leaf_pace.h"
 
 namespace corianderrail::gateway {
 
@@ -35,16 +36,6 @@
   double late_value = 0;              ///< Of an answer that is late.
 };
 
-/** Differences between the leafs. */
-struct leaf_variation {
-  double spread = 0;      ///< Work differs by up to this share between leafs.
-  double slow_share = 0;  ///< Share of the leafs of each kind that are slow.
-  std::string slow_service;  ///< All leafs of this service are slow.
-  double slow_factor = 3;    ///< How much longer a slow leaf works.
-  duration pause_length{};   ///< A leaf stops working for this long.
-  duration pause_period{};   ///< Time between pauses; 0 for no pauses.
-};
-
 /** Deployment of the simulation. */
 struct flood_setup {
   std::uint32_t hosts = 3;  ///< Gateways, assigned to the zones round robin.
@@ -177,8 +168,6 @@
   void StartWork(leaf& one);
   duration Distance(const host& from, const leaf& to) const;
   duration Work(std::size_t kind);
-  void VaryLeafs();
-  time_point EndOfWork(const leaf& one, duration work) const;
 
   flood_setup setup_;
   random_source random_;
