--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -228,9 +228,14 @@
   std::uint64_t withdrawn = 0;      ///< Leaf requests withdrawn before sending.
   std::uint64_t arrived_outside_homes =
       0;  ///< Requests whose home regions do not include this host's.
-  std::uint64_t queued = 0;         ///< Parts that were queued.
-  std::uint64_t cold_requests = 0;  ///< Requests sent to cold leafs.
-  std::uint64_t permit_skips = 0;   ///< Choices without a permit for a leaf.
+  std::uint64_t queued = 0;            ///< Parts that were queued.
+  std::uint64_t cold_requests = 0;     ///< Requests sent to cold leafs.
+  std::uint64_t permit_skips = 0;      ///< Choices without a permit for a leaf.
+  std::uint64_t refused_late = 0;      ///< Could not be answered in time.
+  std::uint64_t refused_for_rank = 0;  ///< A more urgent rank was refused.
+  std::uint64_t returned = 0;          ///< Requests of returning clients.
+  std::uint64_t returned_refused = 0;  ///< Of these, refused on arrival.
+  std::uint64_t late_parts_held = 0;   ///< Late parts kept from free leafs.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
 
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -71,6 +71,9 @@
   /** Predicted latency of the best other candidate; 0 without one. */
   duration NextBestLatency(std::size_t chosen) const;
 
+  /** Predicted latency of the best candidate; 0 without one. */
+  duration BestLatency() const;
+
   /** True when a leaf of a service may get requests with these homes. */
   bool HasUsable(std::string_view service, const residency& homes,
                  time_point now) const;
