Add a message with figures about leafs

Cause: each host learns alone how fast leafs are; a host that has just started knows nothing. Hosts need a bounded message to tell each other. Change: leaf_figures is appended to the bodies of peer messages. A figure has the boot of a leaf as a hash of its instance and start time, its slowness, the number of answers and their age. A message of 64 figures with the longest envelope fits in one Ethernet frame.

--- a/packages/core/host_reducer.cpp
+++ b/packages/core/host_reducer.cpp
@@ -225,6 +225,8 @@
                  [&](const leaf_observation& body) {
                    scheduler.OnLeafObservation(body, now, effects);
                  },
+                 // Only edge hosts exchange figures.
+                 [](const leaf_figures&) {},
              },
              message.body);
 }
--- a/packages/core/id_type.h
+++ b/packages/core/id_type.h
@@ -18,6 +18,9 @@
 /** Identifies a leaf by a hash of its address. */
 enum class leaf_id : std::uint64_t {};
 
+/** Identifies one run of a leaf process by a hash. */
+enum class leaf_boot : std::uint64_t {};
+
 /** Index of a service in its topology. */
 enum class service_id : std::uint32_t {};
 
--- a/packages/core/peer_message_type.h
+++ b/packages/core/peer_message_type.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -282,6 +283,33 @@
   }
 };
 
+/** Maximum number of figures in a message. With the longest addresses it has
+ *  less than 1,400 bytes, so it fits in one datagram of an Ethernet. */
+inline constexpr std::size_t kMaxLeafFigures = 64;
+
+/** Performance of one leaf as its sender learned it from answers. */
+struct leaf_figure {
+  leaf_boot boot{};  ///< Hash of the leaf's instance and start time.
+  std::uint32_t slowness_permille = 1000;  ///< Latency over the expected one.
+  std::uint32_t samples = 0;               ///< Answers it was learned from.
+  std::uint32_t age_ms = 0;                ///< Time since the latest of them.
+
+  template <typename Visitor>
+  void VisitFields(Visitor&& visit) {
+    visit(boot, slowness_permille, samples, age_ms);
+  }
+};
+
+/** Member to member: leafs that differ from the usual, or have returned. */
+struct leaf_figures {
+  std::vector<leaf_figure> figures;  ///< At most kMaxLeafFigures.
+
+  template <typename Visitor>
+  void VisitFields(Visitor&& visit) {
+    visit(figures);
+  }
+};
+
 /** All message bodies. The position of a type is its number on the wire, so new
  *  types are appended and existing ones keep their place. */
 using peer_body =
@@ -289,7 +317,7 @@
                  order_attempt, order_result, order_forward, order_reply, probe,
                  probe_request, probe_ack, member_sync, contract_request,
                  contract_delta, topology_update, share_request, share_grant,
-                 leaf_observation, member_digest>;
+                 leaf_observation, member_digest, leaf_figures>;
 
 /** A message between hosts with its envelope. */
 struct peer_message {
--- a/packages/wire/enum_bound.h
+++ b/packages/wire/enum_bound.h
@@ -37,6 +37,8 @@
 template <>
 struct enum_bound<leaf_id> : whole_range<leaf_id> {};
 template <>
+struct enum_bound<leaf_boot> : whole_range<leaf_boot> {};
+template <>
 struct enum_bound<service_id> : whole_range<service_id> {};
 template <>
 struct enum_bound<collection_id> : whole_range<collection_id> {};
--- a/packages/wire/tests/peer_codec_test.cpp
+++ b/packages/wire/tests/peer_codec_test.cpp
@@ -146,6 +146,46 @@
         wire_error::kind::out_of_range);
 }
 
+// Guards against hosts of the previous version that accept a type of body which
+// they do not know, and against this version doing so with the next one.
+TEST_CASE("PeerCodec_UnknownBody_IsRefused") {
+  peer_message message;
+  message.body = leaf_figures{};
+  auto bytes = EncodePeerMessage(message, kKey);
+  bytes.resize(bytes.size() - kPeerSignatureBytes);
+  constexpr auto kLast = static_cast<char>(std::variant_size_v<peer_body> - 1);
+  // The body of a message without figures is an array with an empty array.
+  const std::size_t at = bytes.size() - 3;
+  REQUIRE(bytes[at] == kLast);
+  bytes[at] = kLast + 1;
+  CHECK(DecodeError(SignPeerBytes(bytes, kKey)) ==
+        wire_error::kind::out_of_range);
+}
+
+// Guards against datagrams that are fragmented on an Ethernet: the loss of one
+// fragment would lose all figures.
+TEST_CASE("PeerCodec_MostFigures_FitInOneFrame") {
+  constexpr std::size_t kMaxDatagramBytes = 1472;
+  peer_message message;
+  message.from = {host_id{~0ULL}, incarnation_id{~0ULL}};
+  message.to_incarnation = incarnation_id{~0ULL};
+  message.revision = revision_id{~0ULL};
+  message.from_address = "255.255.255.255:65535";
+  leaf_figures body;
+  body.figures.assign(kMaxLeafFigures,
+                      {leaf_boot{~0ULL}, 12'000, 1'000, 4'000});
+  message.body = body;
+  const auto bytes = EncodePeerMessage(message, kKey);
+  CHECK(bytes.size() <= kMaxDatagramBytes);
+  const auto got = DecodePeerMessage(bytes, kKey);
+  const auto& figures = std::get<leaf_figures>(got.body).figures;
+  REQUIRE(figures.size() == kMaxLeafFigures);
+  CHECK(figures.back().boot == leaf_boot{~0ULL});
+  CHECK(figures.back().slowness_permille == 12'000);
+  CHECK(figures.back().samples == 1'000);
+  CHECK(figures.back().age_ms == 4'000);
+}
+
 // Guards against messages of unbounded size.
 TEST_CASE("PeerCodec_MessageAboveLimit_IsNotEncoded") {
   peer_message message;
