Learn the performance of leafs and share it between hosts

Cause: the slowness of a leaf was an average that decays to 1 within seconds. A host that sends a leaf a few requests per second never reached the true value, a burst of slow work counted like lasting slowness, and a restarted host knew nothing. Own requests counted as a queue only beyond all slots of a leaf that many hosts share. Change: leaf_performance replaces the slowness of leaf_monitor. A median over recent periods gives a lasting level; deviations from it decay in 1 s. With fewer than five periods with answers the result is the former average. The selector takes the host's share of the slots, and the concurrency from which goodput falls, once a level is known. shared_performance merges figures of other hosts for leafs that this host has not learned yet; performance_report selects the figures to send and their receivers; peer_link sends them once a second.

--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -100,6 +100,7 @@
     from.open_exchanges = core.OpenExchanges();
     from.open_calls = core.OpenCalls();
     from.known_leafs = core.Leafs();
+    from.differing_leafs = core.DifferingLeafs();
     from.version = static_cast<std::uint64_t>(core.Version());
     from.clients = client_server.Counters();
     from.leafs = leafs.Counters();
--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -34,6 +34,7 @@
   duration items_age{};  ///< Since the store last confirmed the items.
   std::uint64_t log_lines_dropped = 0;  ///< Log lines that were not written.
   std::uint64_t handler_failures = 0;   ///< Handlers that threw.
+  std::uint64_t differing_leafs = 0;    ///< Of unusual performance.
   bool ready = false;                   ///< This host accepts clients.
 };
 
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -149,7 +149,8 @@
       stop_timer(io),
       fleet({settings.zone, settings.region, settings.regions},
             settings.peer_address, kEntrySettings),
-      load(MakeLoadSettings(settings)) {}
+      load(MakeLoadSettings(settings)),
+      receivers(settings.peer_address, settings.region, kEntrySettings) {}
 
 /** Reduces an event and executes its effects. Events that the effects cause
  *  are queued and reduced in turn, so that the reducer is never reentered. */
@@ -378,6 +379,7 @@
   relay.Sweep(Now());
   CheckClock();
   CheckRevisionLag();
+  ReportFigures();
   peers.SetBusy(load.Update(ProcessorTime(), Now()));
 }
 
@@ -446,6 +448,7 @@
                                    {"address", self.settings.client_address}};
   self.log.WriteEvent("started", inputs);
   self.WaitForSignal();
+  self.ReceiveFigures();
   self.peers.Start([&self] { self.OnMembersChanged(); });
   self.OnMembers();
   self.WatchSettings();
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -27,6 +27,7 @@
 #include "gateway/hosts/fleet_view.h"
 #include "gateway/hosts/load_signal.h"
 #include "gateway/hosts/stop_timing.h"
+#include "gateway/leafs/performance_report.h"
 #include "gateway/store/lag_detector.h"
 
 namespace corianderrail::edge {
@@ -58,6 +59,7 @@
     leafs.StopSending(effect.leaf, effect.send_before);
   }
   void Execute(gateway::answer_effect& effect);
+  void Execute(gateway::send_figures_effect& effect);
   void Execute(gateway::log_effect& effect) { log.Write(effect, Now()); }
 
   http_handler ClientHandler();
@@ -81,6 +83,8 @@
   void ReloadSettings();
   void ApplySettings(const edge_settings& fresh);
   void Sweep();
+  void ReceiveFigures();
+  void ReportFigures();
   void ScheduleWake();
   void CheckRevisionLag();
   void CheckClock();
@@ -119,6 +123,8 @@
   bool members_pending = false;  ///< members_timer runs.
   gateway::fleet_view fleet;
   gateway::load_signal load;
+  gateway::figure_receivers receivers;  ///< Of figures about leafs.
+  time_point reported{};                ///< Last report of figures.
   gateway::lag_detector revision_lag;
   gateway::clock_gap gap{kSweepPeriod};
   time_point started = Now();
--- a/packages/edge/peer_link.cpp
+++ b/packages/edge/peer_link.cpp
@@ -112,7 +112,8 @@
     members_.OnMemberSync(message, *one, now, effects);
   } else if (const auto* one = std::get_if<member_digest>(&message.body)) {
     members_.OnMemberDigest(message, *one, now, effects);
-  } else {
+  } else if (auto* one = std::get_if<leaf_figures>(&message.body);
+             one == nullptr || !TakeFigures(message, *one)) {
     ++counters_.refused;
   }
   members_.OnTick(now, effects);
@@ -120,6 +121,32 @@
   ScheduleTick();
 }
 
+// Figures of hosts that are not known members cannot be told apart from those
+// of a host that uses several addresses.
+bool peer_link::TakeFigures(const peer_message& message, leaf_figures& body) {
+  const member_record* sender = members_.Find(message.from.host);
+  const bool valid = sender != nullptr &&
+                     sender->region == members_.Self().region &&
+                     body.figures.size() <= kMaxLeafFigures;
+  if (valid && on_figures_) {
+    on_figures_(message.from.host, std::move(body.figures));
+  }
+  return valid;
+}
+
+void peer_link::SendFigures(const std::vector<leaf_figure>& figures,
+                            std::span<const member_record* const> receivers) {
+  effect_list effects;
+  for (const member_record* to : receivers) {
+    effects.push_back(send_peer_effect{to->ref.host, to->peer_address,
+                                       to->ref.incarnation,
+                                       leaf_figures{figures}});
+  }
+  const std::uint64_t before = counters_.bytes_sent;
+  ExecuteEffects(effects);
+  counters_.figure_bytes_sent += counters_.bytes_sent - before;
+}
+
 void peer_link::ExecuteEffects(effect_list& effects) {
   for (effect& one : effects) {
     auto* send = std::get_if<send_peer_effect>(&one);
--- a/packages/edge/peer_link.h
+++ b/packages/edge/peer_link.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/membership.h"
@@ -23,6 +24,7 @@
   std::uint64_t refused = 0;     ///< Received, but invalid or unexpected.
   std::uint64_t bytes_sent = 0;  ///< Payload of `sent`.
   std::uint64_t bytes_sent_to_other_regions = 0;  ///< Part of `bytes_sent`.
+  std::uint64_t figure_bytes_sent = 0;            ///< Part of `bytes_sent`.
   std::uint64_t bytes_received = 0;               ///< Payload of `received`.
 };
 
@@ -46,6 +48,16 @@
   void SetBusy(bool busy);
   void SetLeaving();
   void SetRevision(std::uint64_t revision);
+  /** Sends figures about leafs to other members. */
+  void SendFigures(const std::vector<leaf_figure>& figures,
+                   std::span<const member_record* const> receivers);
+
+  /** Sets the receiver of figures that members send to this host. */
+  void OnFigures(
+      std::function<void(host_id, std::vector<leaf_figure>)> handler) {
+    on_figures_ = std::move(handler);
+  }
+
   void SetSeeds(std::span<const std::string> seeds);
 
   /** Probes peers again after this process did not run for a while. */
@@ -64,6 +76,7 @@
  private:
   void Receive();
   void OnDatagram(std::string_view bytes);
+  bool TakeFigures(const peer_message& message, leaf_figures& body);
   void ExecuteEffects(effect_list& effects);
   void Tick();
   void ScheduleTick();
@@ -73,6 +86,7 @@
   membership members_;
   std::string shared_key_;
   std::function<void()> on_change_;
+  std::function<void(host_id, std::vector<leaf_figure>)> on_figures_;
   std::uint64_t seen_generation_ = 0;
   peer_link_counters counters_;
   boost::asio::ip::udp::endpoint sender_;
--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -33,6 +33,7 @@
         {"leaf_listed", 10, 200},
         {"leaf_delisted", 10, 200},
         {"leaf_leaving", 10, 200},
+        {"leaf_speed", 10, 50},
         {"config_in_force", 5, 20},
     }};
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/leafs/connection_warmup.h"
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/leafs/leaf_selector.h"
+#include "gateway/leafs/performance_report.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/route_table.h"
 
@@ -67,6 +68,7 @@
   std::size_t OpenExchanges() const { return exchanges_.size(); }
   std::size_t OpenCalls() const { return calls_.size(); }
   std::size_t Leafs() const { return directory_.Size(); }
+  std::size_t DifferingLeafs() const { return report_.Differing(); }
 
  private:
   struct part;
@@ -96,6 +98,8 @@
   void On(leaving_event& input, time_point now);
   void On(stop_event& input, time_point now);
   void On(wake_event& input, time_point now);
+  void On(leaf_figures_event& input, time_point now);
+  void On(report_event& input, time_point now);
   void OnTimer(const timer& due, time_point now);
   void RecordAnswer(leaf_state& leaf, const open_request& call, leaf_call id,
                     const leaf_answer& answer, time_point now);
@@ -182,6 +186,7 @@
   retry_schedule retry_schedule_;
   loop_lag lag_;                    ///< How late requests are read.
   connection_warmup warmup_;        ///< Leafs to connect to in advance.
+  performance_report report_;       ///< Figures for other hosts.
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -99,6 +99,7 @@
   piece.state = part::phase::open;
   ++piece.open;
   ++counters_.leaf_requests;
+  counters_.shared_choices += chosen.shared ? 1 : 0;
   ++counters_.sends[static_cast<std::size_t>(cause)]
                    [static_cast<std::size_t>(selector_.DistanceOf(leaf))];
 
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -10,6 +10,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/id_type.h"
+#include "core/peer_message_type.h"
 #include "core/time_type.h"
 #include "gateway/leafs/connection_share.h"
 #include "gateway/leafs/registry_type.h"
@@ -73,6 +75,15 @@
   fleet_size other_regions;   ///< Fleet seen by a leaf elsewhere, on average.
 };
 
+/** Another host sent figures about leafs. */
+struct leaf_figures_event {
+  host_id from{};                    ///< Sender, by its signature.
+  std::vector<leaf_figure> figures;  ///< At most kMaxLeafFigures.
+};
+
+/** Figures for other hosts are due. */
+struct report_event {};
+
 /** Reloadable settings changed. */
 struct settings_event {
   double repeat_ratio = 0;  ///< Repeats allowed per first request.
@@ -97,7 +108,8 @@
     std::variant<request_event, client_disconnected_event, leaf_answer_event,
                  leaf_failure_event, leaf_connected_event, config_event,
                  registry_event, startup_event, fleet_event, settings_event,
-                 leaving_event, stop_event, wake_event>;
+                 leaving_event, stop_event, wake_event, leaf_figures_event,
+                 report_event>;
 
 /** Sends a request to a leaf. */
 struct send_leaf_effect {
@@ -136,6 +148,11 @@
   time_point send_before{};  ///< No request is sent from this time on.
 };
 
+/** Sends figures about leafs to some other hosts. */
+struct send_figures_effect {
+  std::vector<leaf_figure> figures;  ///< Not empty.
+};
+
 /** Answers a client. */
 struct answer_effect {
   exchange_id exchange{};  ///< From request_event.
@@ -156,9 +173,10 @@
   leaf_listed,      ///< The registry added or changed a leaf.
   leaf_delisted,    ///< The registry removed a leaf, or it is draining.
   leaf_leaving,     ///< A leaf stated in an answer that it will stop.
+  leaf_speed,       ///< A leaf differs from the usual, or no longer.
   config_in_force,  ///< A newer configuration became active.
 };
-inline constexpr std::size_t kDecisions = 13;
+inline constexpr std::size_t kDecisions = 14;
 
 /** One value that a decision was based on. */
 struct decision_input {
@@ -173,9 +191,10 @@
   std::vector<decision_input> inputs;  ///< Values that led to it.
 };
 
-using effect = std::variant<send_leaf_effect, cancel_leaf_effect,
-                            connect_leaf_effect, disconnect_leaf_effect,
-                            stop_sending_effect, answer_effect, log_effect>;
+using effect =
+    std::variant<send_leaf_effect, cancel_leaf_effect, connect_leaf_effect,
+                 disconnect_leaf_effect, stop_sending_effect, answer_effect,
+                 log_effect, send_figures_effect>;
 using effect_list = std::vector<effect>;
 
 /** Why a request is sent to a leaf. */
@@ -206,6 +225,9 @@
   std::uint64_t leaf_sheds =
       0;  ///< Answers of leafs that did not run the request.
   std::uint64_t leaf_failures = 0;             ///< Failed leaf requests.
+  std::uint64_t figures_received = 0;          ///< About leafs, from hosts.
+  std::uint64_t figures_sent = 0;              ///< Once for all receivers.
+  std::uint64_t shared_choices = 0;            ///< Made with such figures.
   std::uint64_t queued = 0;                    ///< Parts that were queued.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
--- a/packages/gateway/leafs/leaf_choice.h
+++ b/packages/gateway/leafs/leaf_choice.h
@@ -24,11 +24,12 @@
   duration expected{};      ///< Median latency of leafs at this distance.
   duration unloaded{};      ///< The same without queueing; 0 while unknown.
   double slowness = 1;      ///< Its latency relative to the expected one.
+  bool shared = false;      ///< `slowness` includes figures of other hosts.
   double failure_rate = 0;  ///< Share of recent requests that failed.
   duration failure_cost{};  ///< Cost of a failure, expressed as a latency.
   std::uint32_t open = 0;   ///< Open requests of this host.
   std::uint32_t limit = 0;  ///< Maximum open requests of this host.
-  std::uint32_t slots = 1;  ///< Requests that it runs concurrently.
+  std::uint32_t slots = 1;  ///< Requests that it runs well concurrently.
   bool cold = false;        ///< In its slow start.
   bool near = false;        ///< In the region of this host.
 };
--- a/packages/gateway/leafs/leaf_directory.cpp
+++ b/packages/gateway/leafs/leaf_directory.cpp
@@ -50,6 +50,7 @@
     return ended;
   }
   leaf->record = *change.record;
+  leaf->boot = BootOf(leaf->record);
   leaf->replaced = false;
   leaf->cold_until = now + change.record->cold_left;
   SetListing(*leaf,
@@ -61,11 +62,15 @@
 leaf_state& leaf_directory::Add(const std::string& key,
                                 const leaf_record& record, time_point now) {
   auto fresh = memory_.Take(key, record);
-  if (!fresh) fresh = std::make_unique<leaf_state>();
+  if (!fresh) {
+    fresh = std::make_unique<leaf_state>();
+    fresh->monitor = leaf_monitor(settings_.performance);
+  }
   leaf_state& leaf = *fresh;
   leaf.handle = leaf_handle{next_handle_++};
   leaf.key = key;
   leaf.record = record;
+  leaf.boot = BootOf(record);
   leaf.replaced = false;
   // Whoever is first seen draining may have done so for long.
   SetListing(leaf, record.draining ? listing::draining : listing::listed,
--- a/packages/gateway/leafs/leaf_directory.h
+++ b/packages/gateway/leafs/leaf_directory.h
@@ -19,9 +19,11 @@
 
 namespace corianderrail::gateway {
 
-/** Timing of leafs that drain or are removed. */
+/** Timing of leafs that leave, and how their performance is learned. */
 struct leaf_directory_settings {
   duration drain_time = std::chrono::seconds(3);  ///< A leaving leaf serves on.
+  performance_settings
+      performance{};  ///< From how many samples leafs are known.
 };
 
 /** Leafs of the registry with their health. */
--- a/packages/gateway/leafs/leaf_memory.cpp
+++ b/packages/gateway/leafs/leaf_memory.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/stable_hash.h"
+
 namespace corianderrail::gateway {
 
 namespace {
@@ -13,7 +15,7 @@
  *  lapse in an outage of the registry. */
 constexpr duration kMemoryTime = std::chrono::seconds(120);
 
-/** Some 500 bytes each, so a megabyte at most. */
+/** Some 900 bytes each, so two megabytes at most. */
 constexpr std::size_t kMaxKept = 2048;
 
 }  // namespace
@@ -25,6 +27,12 @@
          a.instance != b.instance;
 }
 
+leaf_boot BootOf(const leaf_record& record) {
+  const std::uint64_t instance = HashBytes(record.instance);
+  return leaf_boot{
+      MixHash(instance ^ static_cast<std::uint64_t>(record.born_unix_ms))};
+}
+
 void leaf_memory::Keep(std::unique_ptr<leaf_state> leaf, time_point now) {
   leaf->monitor.DropAllCalls();
   leaf->connecting = false;
--- a/packages/gateway/leafs/leaf_monitor.cpp
+++ b/packages/gateway/leafs/leaf_monitor.cpp
@@ -1,4 +1,4 @@
-/** @file leaf_monitor.cpp Latency and failure averages, stalls and ejection. */
+/** @file leaf_monitor.cpp Failure average, stalls and ejection. */
 
 #include "gateway/leafs/leaf_monitor.h"
 
@@ -9,20 +9,8 @@
 
 namespace {
 
-/** Upper bound of one latency sample relative to the expected latency. */
-constexpr double kMaxSlowness = 12.0;
-
-/** Weights of samples that are slower or faster than the mean. A leaf that is
- *  fast again must be noticed soon; a single slow request means little. */
-constexpr double kSlowerWeight = 0.2;
-constexpr double kFasterWeight = 0.4;
-
-/** Latency relative to the expected one from which an answer is late. */
-constexpr double kLateFactor = 3.0;
-
-/** Time constants of the exponential decay of both averages. Without decay, a
+/** Time constant of the exponential decay of the failure rate. Without decay, a
  *  leaf that gets no requests would never be tried again. */
-constexpr duration kSlownessDecayTime = std::chrono::seconds(6);
 constexpr duration kFailureDecayTime = std::chrono::seconds(10);
 
 /** Weight of one answer in the failure rate. */
@@ -45,7 +33,10 @@
 
 }  // namespace
 
-void leaf_monitor::OnSent(const open_call& call) { open_.push_back(call); }
+void leaf_monitor::OnSent(const open_call& call) {
+  open_.push_back(call);
+  open_.back().open = Open();
+}
 
 void leaf_monitor::DropCall(leaf_call call) {
   open_call ignored;
@@ -76,20 +67,9 @@
   failure_at_ = now;
   window_.OnAnswer({now - removed.sent, removed.unloaded, removed.work, open},
                    now);
-  const double expected =
-      std::max<double>(1, static_cast<double>(removed.expected.count()));
-  const double sample =
-      std::clamp(static_cast<double>((now - removed.sent).count()) / expected,
-                 0.2, kMaxSlowness);
-  // Requests that were delayed by the same pause count as one sample.
-  if (sample >= kLateFactor) {
-    if (removed.sent < last_late_) return;
-    last_late_ = now;
-  }
-  const double mean = Slowness(now);
-  const double weight = sample > mean ? kSlowerWeight : kFasterWeight;
-  slowness_ = mean + weight * (sample - mean);
-  slowness_at_ = now;
+  const performance_sample sample{removed.sent, removed.expected, removed.open,
+                                  window_.HasLimit(now)};
+  performance_.OnAnswer(sample, now);
 }
 
 void leaf_monitor::OnShed(leaf_call call, time_point now) {
@@ -164,10 +144,6 @@
   ejected_until_ = now + backoff_;
 }
 
-double leaf_monitor::Slowness(time_point now) const {
-  return 1 + (slowness_ - 1) * Decay(now - slowness_at_, kSlownessDecayTime);
-}
-
 double leaf_monitor::FailureRate(time_point now) const {
   return failure_rate_ * Decay(now - failure_at_, kFailureDecayTime);
 }
--- a/packages/gateway/leafs/leaf_monitor.h
+++ b/packages/gateway/leafs/leaf_monitor.h
@@ -7,6 +7,7 @@
 
 #include "core/time_type.h"
 #include "gateway/leafs/concurrency_window.h"
+#include "gateway/leafs/leaf_performance.h"
 #include "gateway/message_type.h"
 
 namespace corianderrail::gateway {
@@ -19,15 +20,20 @@
   duration unloaded{};  ///< Usual latency without queueing.
   duration work{};      ///< Estimated time that a leaf works for the request.
   duration suspect_after{};  ///< Time after `sent` when the request is late.
+  std::uint32_t open = 1;    ///< Open requests then, including this one.
 };
 
 /**
- * Latency, failures and ejection of one leaf, derived from the answers to this
- * host's requests and from missing answers. Health endpoints of leafs are not
- * queried, because they would use slots and need not reflect real requests.
+ * Performance, failures and ejection of one leaf, derived from the answers to
+ * this host's requests and from missing answers. Health endpoints of leafs are
+ * not queried, because they would use slots and need not reflect real requests.
  */
 class leaf_monitor {
  public:
+  leaf_monitor() = default;
+  explicit leaf_monitor(performance_settings settings)
+      : performance_(settings) {}
+
   void OnSent(const open_call& call);
 
   /** Removes an open call without a statistical effect. */
@@ -58,8 +64,8 @@
     return static_cast<std::uint32_t>(open_.size());
   }
 
-  /** Latency relative to the expected one; decays towards 1. */
-  double Slowness(time_point now) const;
+  /** Latency and concurrency learned from the answers. */
+  const leaf_performance& Performance() const { return performance_; }
 
   /** Share of recent requests that failed; decays towards 0. */
   double FailureRate(time_point now) const;
@@ -90,13 +96,11 @@
   void Eject(time_point now);
 
   std::vector<open_call> open_;  ///< In the order they were sent.
-  double slowness_ = 1;          ///< Value at slowness_at_.
-  time_point slowness_at_{};
+  leaf_performance performance_;
   double failure_rate_ = 0;  ///< Value at failure_at_.
   time_point failure_at_{};
   concurrency_window window_;
   time_point last_answer_{};  ///< Includes refusals and error answers.
-  time_point last_late_{};    ///< Last answer that counted as late.
   std::uint32_t consecutive_failures_ = 0;  ///< Since the last usable answer.
   duration backoff_{};                      ///< Duration of the last ejection.
   time_point ejected_until_{};
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -15,6 +15,10 @@
  *  connections of a leaf. */
 constexpr std::uint32_t kStartupDivisor = 4;
 
+/** Slots that a host may expect for itself at a leaf. With one, a request at a
+ *  fast leaf would count as a queue, and slow leafs would be preferred. */
+constexpr std::uint32_t kMinOwnSlots = 2;
+
 }  // namespace
 
 leaf_selector::leaf_selector(location here, leaf_directory& directory)
@@ -46,6 +50,21 @@
   return share;
 }
 
+// The hosts of the region use a leaf together, so the requests of this host
+// queue there before they fill all slots. Until the leaf's answers give a
+// level, the slots are taken as stated.
+std::uint32_t leaf_selector::Concurrency(const leaf_state& leaf,
+                                         time_point now) const {
+  const leaf_performance& performance = leaf.monitor.Performance();
+  const std::uint32_t slots = leaf.record.slots;
+  if (!performance.Level(now)) return slots;
+  const std::uint32_t share =
+      slots / std::max(fleet_.own_region.near_hosts, 1u);
+  const std::uint32_t usable = std::min(slots, std::max(share, kMinOwnSlots));
+  const std::uint32_t learned = performance.Concurrency(now);
+  return learned == 0 ? usable : std::min(usable, learned);
+}
+
 leaf_distance leaf_selector::DistanceOf(const leaf_state& leaf) const {
   if (leaf.record.zone == here_.zone) return leaf_distance::zone;
   return here_.SameRegion(leaf.record.zone) ? leaf_distance::region
@@ -79,13 +98,14 @@
                                leaf.handle) != query.asked.end();
   if (asked) candidate.eligibility = leaf_eligibility::unusable;
   candidate.unloaded = query.stats->UnloadedLatency(leaf.record.zone);
-  candidate.slowness = leaf.monitor.Slowness(now);
+  const leaf_performance& performance = leaf.monitor.Performance();
+  candidate.slowness = performance.Slowness(now);
   candidate.failure_rate = leaf.monitor.FailureRate(now);
   // Few repeats are allowed, so a failure usually loses the part.
   candidate.failure_cost = query.matched->objective;
   candidate.open = leaf.monitor.Open();
   candidate.limit = Limit(leaf, query.max_connections, now) + query.reserve;
-  candidate.slots = leaf.record.slots;
+  candidate.slots = Concurrency(leaf, now);
   candidate.cold = now < leaf.cold_until;
   candidate.near = here_.SameRegion(leaf.record.zone);
   // A leaf gets no more requests than it can answer on time. Further parts
@@ -96,9 +116,25 @@
   if (overloaded || leaf.monitor.AtConnectionLimit(now)) {
     candidate.limit = std::min(candidate.limit, candidate.open);
   }
+  ApplyShared(leaf, candidate, now);
   return candidate;
 }
 
+// After the limit, so that other hosts can make a leaf look slow, but not full.
+void leaf_selector::ApplyShared(const leaf_state& leaf,
+                                leaf_candidate& candidate,
+                                time_point now) const {
+  if (shared_.Hosts() == 0) return;
+  const leaf_performance& own = leaf.monitor.Performance();
+  const double confidence = own.Confidence(now);
+  if (SupersedesShared(confidence)) return;
+  const auto slowness = shared_.Slowness(leaf.boot, own.RecentMean(now), now);
+  if (!slowness) return;
+  candidate.slowness =
+      CombineSlowness(candidate.slowness, confidence, *slowness);
+  candidate.shared = true;
+}
+
 void leaf_selector::Collect(const leaf_query& query, time_point now) {
   candidates_.clear();
   leafs_.clear();
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_type.h"
 #include "gateway/leafs/leaf_choice.h"
 #include "gateway/leafs/leaf_directory.h"
+#include "gateway/leafs/shared_performance.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/routing_type.h"
 
@@ -39,6 +40,9 @@
   void SetStarted(time_point started) { started_ = started; }
   void SetFleet(const fleet_event& fleet) { fleet_ = fleet; }
 
+  /** Figures of other hosts about leafs. */
+  shared_performance& Shared() { return shared_; }
+
   /** Replaces the candidates by those for a part. */
   void Collect(const leaf_query& query, time_point now);
 
@@ -69,8 +73,13 @@
   leaf_eligibility Eligibility(const leaf_state& leaf, const route& matched,
                                time_point now, duration work) const;
 
+  std::uint32_t Concurrency(const leaf_state& leaf, time_point now) const;
+  void ApplyShared(const leaf_state& leaf, leaf_candidate& candidate,
+                   time_point now) const;
+
   location here_;
   leaf_directory& directory_;
+  shared_performance shared_;
   fleet_event fleet_;     ///< Latest size of the fleet.
   time_point started_{};  ///< Time of the first event of this process.
   std::vector<leaf_candidate> candidates_;
--- a/packages/gateway/leafs/leaf_state.h
+++ b/packages/gateway/leafs/leaf_state.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "core/id_type.h"
 #include "gateway/leafs/leaf_departure.h"
 #include "gateway/leafs/leaf_monitor.h"
 #include "gateway/leafs/registry_type.h"
@@ -23,6 +24,7 @@
   leaf_handle handle{};  ///< Never reused.
   std::string key;       ///< Key in the registry.
   leaf_record record;    ///< Latest registry entry.
+  leaf_boot boot{};      ///< Of `record`; the same on all hosts.
   listing listed = listing::listed;
   leaf_departure departure;  ///< Since when it leaves.
   time_point cold_until{};   ///< End of its slow start.
@@ -31,6 +33,9 @@
   leaf_monitor monitor;      ///< Health by this host's requests.
 };
 
+/** Identifier of the process of a record, the same on all hosts. */
+leaf_boot BootOf(const leaf_record& record);
+
 /** True for records of different processes: a restart, or another leaf. */
 bool IsOtherProcess(const leaf_record& a, const leaf_record& b);
 
--- a/packages/gateway/tests/flood_simulation.cpp
+++ b/packages/gateway/tests/flood_simulation.cpp
@@ -126,25 +126,77 @@
 }
 
 void flood_simulation::BuildHosts() {
-  gateway_settings settings;
-  for (std::uint32_t zone = 0; zone < setup_.zones; ++zone) {
-    settings.here.regions[ZoneName(zone)] = ZoneName(zone);
-  }
-  settings.repeats = {0.2, 52, seconds(10)};
   for (std::uint32_t i = 0; i < setup_.hosts; ++i) {
     auto fresh = std::make_unique<host>();
     fresh->zone = ZoneName(i % setup_.zones);
-    settings.here.zone = fresh->zone;
-    settings.here.region = fresh->zone;
-    fresh->core = std::make_unique<gateway>(settings);
-    fresh->fleet = std::make_unique<fleet_view>(settings.here, PeerAddress(i),
-                                                entry_settings{});
     hosts_.push_back(std::move(fresh));
+    StartHost(i);
   }
   for (std::uint32_t i = 0; i < setup_.hosts; ++i) {
     Reduce(i, Fleet(i, !setup_.cold_start));
     Reduce(i, config_event{Config()});
   }
+  ScheduleReports();
+}
+
+/** Starts the process of a host. */
+void flood_simulation::StartHost(std::size_t index) {
+  gateway_settings settings;
+  for (std::uint32_t zone = 0; zone < setup_.zones; ++zone) {
+    settings.here.regions[ZoneName(zone)] = ZoneName(zone);
+  }
+  settings.repeats = {0.2, 52, seconds(10)};
+  settings.leafs.performance = setup_.performance;
+  host& fresh = *hosts_[index];
+  settings.here.zone = fresh.zone;
+  settings.here.region = fresh.zone;
+  fresh.core = std::make_unique<gateway>(settings);
+  fresh.fleet = std::make_unique<fleet_view>(settings.here, PeerAddress(index),
+                                             entry_settings{});
+}
+
+void flood_simulation::RestartHost(std::size_t index) {
+  host& one = *hosts_[index];
+  one.leafs.clear();
+  for (auto& [instance, to] : leafs_) {
+    leaf::pool& pool = to->pools[index];
+    to->connections -= pool.open;
+    pool = {};
+    std::erase_if(to->waiting,
+                  [&](const leaf::job& job) { return job.host == index; });
+  }
+  std::erase_if(open_,
+                [&](const auto& each) { return each.second.host == index; });
+  one.wake_at = kNever;
+  StartHost(index);
+  Reduce(index, Fleet(index, true));
+  Reduce(index, config_event{Config()});
+  Reduce(index, registry_event{registry_, true, {}});
+}
+
+const gateway_counters& flood_simulation::Counters(std::size_t host) const {
+  return hosts_[host]->core->Counters();
+}
+
+void flood_simulation::ScheduleReports() {
+  if (setup_.report_period == duration{}) return;
+  Schedule(now_ + setup_.report_period, [this] {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) Reduce(i, report_event{});
+    ScheduleReports();
+  });
+}
+
+/** Delivers figures to the other hosts of the zone. */
+void flood_simulation::Handle(std::size_t index, send_figures_effect& effect) {
+  if (setup_.distort) setup_.distort(index, effect.figures);
+  const host_id from = HostIdOf(PeerAddress(index));
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    if (i == index || hosts_[i]->zone != hosts_[index]->zone) continue;
+    Schedule(now_ + setup_.near_one_way,
+             [this, i, from, figures = effect.figures] {
+               Reduce(i, leaf_figures_event{from, figures});
+             });
+  }
 }
 
 /** Number of hosts that take clients: a few of each zone after a cold start,
@@ -206,6 +258,7 @@
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
     Reduce(i, registry_event{changes, true, {}});
   }
+  registry_ = std::move(changes);
 }
 
 void flood_simulation::Schedule(time_point when, action run) {
@@ -409,7 +462,10 @@
     if (now_ >= job.stop_at) continue;
     ++one.running;
     one.at_work.emplace_back(job.host, job.call);
-    Schedule(now_ + Work(job.kind), [this, &one, job] {
+    const leaf_work work{one.record, now_, Work(job.kind), one.running};
+    const time_point end =
+        setup_.work_end ? setup_.work_end(work) : now_ + work.usual;
+    Schedule(end, [this, &one, job] {
       const auto found = std::find(one.at_work.begin(), one.at_work.end(),
                                    std::pair(job.host, job.call));
       if (found == one.at_work.end()) return;  // The request was canceled.
--- a/packages/gateway/tests/flood_simulation.h
+++ b/packages/gateway/tests/flood_simulation.h
@@ -31,6 +31,14 @@
   double min_shard_ratio = 0;         ///< 0 for a plain request.
 };
 
+/** Work that a simulated leaf starts. */
+struct leaf_work {
+  const leaf_record& leaf;
+  time_point start{};         ///< On the clock of the simulation.
+  duration usual{};           ///< Time that it takes at the usual speed.
+  std::uint32_t running = 1;  ///< Requests at work, including this one.
+};
+
 /** Deployment of the simulation. */
 struct flood_setup {
   std::uint32_t hosts = 3;   ///< Gateways, assigned to the zones round robin.
@@ -50,6 +58,13 @@
    *  how long. */
   std::uint32_t stale_connections = 0;
   duration stale_time = std::chrono::seconds(2);
+  /** End of the work that a leaf starts; empty if its speed is constant. */
+  std::function<time_point(const leaf_work&)> work_end;
+  performance_settings performance{};
+  /** Period in which hosts of a zone send figures to each other; 0: never. */
+  duration report_period{};
+  /** Changes the figures of a host before they are sent, if set. */
+  std::function<void(std::size_t host, std::vector<leaf_figure>&)> distort;
 };
 
 /** Results of the requests of one kind. */
@@ -99,6 +114,15 @@
    *  that take no clients. Counted in the next Run(). */
   void SendToEachHost(std::size_t kind, duration within);
 
+  /** Replaces the process of a host by one that knows nothing of the leafs. Its
+   *  open requests are lost. */
+  void RestartHost(std::size_t host);
+
+  /** Counters of a host since its last start. */
+  const gateway_counters& Counters(std::size_t host) const;
+
+  time_point Time() const { return now_; }
+
   /** Maximum rate per second of one kind alone. */
   double Capacity(std::size_t kind) const;
 
@@ -146,6 +170,9 @@
   void Handle(std::size_t, disconnect_leaf_effect&) {}
   void Handle(std::size_t, stop_sending_effect&) {}
   void Handle(std::size_t, log_effect&) {}
+  void Handle(std::size_t host, send_figures_effect& effect);
+  void ScheduleReports();
+  void StartHost(std::size_t index);
   void StartWork(leaf& one);
   duration Distance(const host& from, const leaf& to) const;
   duration Work(std::size_t kind);
@@ -160,6 +187,7 @@
                       std::greater<>>
       scheduled_;
   std::vector<std::unique_ptr<host>> hosts_;
+  std::vector<registry_change> registry_;               ///< All leafs.
   std::map<std::string, std::unique_ptr<leaf>> leafs_;  ///< By instance.
   std::map<std::string, leaf*> by_address_;
   std::map<std::uint64_t, attempt> open_;  ///< By exchange.
--- a/packages/gateway/tests/gateway_fixture.h
+++ b/packages/gateway/tests/gateway_fixture.h
@@ -170,6 +170,7 @@
 
   const std::vector<leaf_call>& Cancelled() const { return cancelled_; }
   const std::vector<log_effect>& Logged() const { return logged_; }
+  const std::vector<leaf_figure>& Figures() const { return figures_; }
   const std::vector<connect_leaf_effect>& Connects() const { return connects_; }
   const std::vector<stop_sending_effect>& Stops() const { return stops_; }
   gateway& Core() { return *core_; }
@@ -205,6 +206,9 @@
   void Collect(disconnect_leaf_effect&) {}
   void Collect(stop_sending_effect& one) { stops_.push_back(one); }
   void Collect(answer_effect& one) { answers_.push_back(std::move(one)); }
+  void Collect(send_figures_effect& one) {
+    figures_.insert(figures_.end(), one.figures.begin(), one.figures.end());
+  }
   void Collect(log_effect& one) { logged_.push_back(std::move(one)); }
 
   std::unique_ptr<gateway> core_;
@@ -217,6 +221,7 @@
   std::vector<connect_leaf_effect> connects_;
   std::vector<leaf_handle> connecting_;
   std::vector<log_effect> logged_;
+  std::vector<leaf_figure> figures_;  ///< Sent to other hosts.
   std::vector<stop_sending_effect> stops_;
 };
 
--- a/packages/gateway/tests/placement_test.cpp
+++ b/packages/gateway/tests/placement_test.cpp
@@ -185,18 +185,18 @@
   const leaf_call third = Send();
   now_ += milliseconds(200);
   monitor_.OnAnswer(first, now_);
-  const double after_one = monitor_.Slowness(now_);
+  const double after_one = monitor_.Performance().Slowness(now_);
   monitor_.OnAnswer(second, now_);
   monitor_.OnAnswer(third, now_);
   CHECK(after_one > 1.5);
-  CHECK(monitor_.Slowness(now_) <= after_one);
+  CHECK(monitor_.Performance().Slowness(now_) <= after_one);
 }
 
 // Guards against never trying a slow leaf again.
 TEST_CASE_METHOD(monitor_fixture, "Monitor_SlowThenIdle_Recovers") {
   for (int i = 0; i < 5; ++i) Answer(milliseconds(120));
-  CHECK(monitor_.Slowness(now_) > 5);
-  CHECK(monitor_.Slowness(now_ + seconds(20)) < 1.5);
+  CHECK(monitor_.Performance().Slowness(now_) > 5);
+  CHECK(monitor_.Performance().Slowness(now_ + seconds(20)) < 1.5);
 }
 
 // Guards against preferring a leaf that refuses often but answers fast.
