Compare what callers get with and without learned performance

Cause: no test showed the effect of learned performance on the requests of clients, nor of figures of other hosts after a restart or with one wrong host.

--- a/packages/gateway/tests/flood_simulation.cpp
+++ b/packages/gateway/tests/flood_simulation.cpp
@@ -19,6 +19,9 @@
 /** Time of a leaf to accept a connection. */
 constexpr duration kHandshake = std::chrono::milliseconds(6);
 
+/** How long a host counts as started early. */
+constexpr duration kEarly = std::chrono::seconds(2);
+
 std::string PeerAddress(std::size_t host) {
   return "10.0.0.1:" + std::to_string(1000 + host);
 }
@@ -65,6 +68,7 @@
   std::unique_ptr<gateway> core;
   std::string zone;
   std::unique_ptr<fleet_view> fleet;
+  time_point started{};
   time_point wake_at = kNever;
   std::vector<event> inbox;
   bool reducing = false;
@@ -137,6 +141,7 @@
     Reduce(i, config_event{Config()});
   }
   ScheduleReports();
+  ScheduleRestarts(0);
 }
 
 /** Starts the process of a host. */
@@ -148,6 +153,7 @@
   settings.repeats = {0.2, 52, seconds(10)};
   settings.leafs.performance = setup_.performance;
   host& fresh = *hosts_[index];
+  fresh.started = now_;
   settings.here.zone = fresh.zone;
   settings.here.region = fresh.zone;
   fresh.core = std::make_unique<gateway>(settings);
@@ -186,6 +192,14 @@
   });
 }
 
+void flood_simulation::ScheduleRestarts(std::size_t next) {
+  if (setup_.restart_period == duration{}) return;
+  Schedule(now_ + setup_.restart_period, [this, next] {
+    RestartHost(next % hosts_.size());
+    ScheduleRestarts(next + 1);
+  });
+}
+
 /** Delivers figures to the other hosts of the zone. */
 void flood_simulation::Handle(std::size_t index, send_figures_effect& effect) {
   if (setup_.distort) setup_.distort(index, effect.figures);
@@ -535,6 +549,8 @@
     if (!counts) return;
     const duration latency = now_ - one.arrived;
     result.times.push_back(latency);
+    const bool early = now_ - hosts_[one.host]->started < kEarly;
+    if (early) result.early_times.push_back(latency);
     const auto shards = static_cast<double>(kind.services.size());
     const double covered = 1 - answer.missing_parts / shards;
     if (latency <= kind.objective) result.on_time += covered * covered;
--- a/packages/gateway/tests/flood_simulation.h
+++ b/packages/gateway/tests/flood_simulation.h
@@ -63,6 +63,8 @@
   performance_settings performance{};
   /** Period in which hosts of a zone send figures to each other; 0: never. */
   duration report_period{};
+  /** Period in which one host after the other restarts; 0: never. */
+  duration restart_period{};
   /** Changes the figures of a host before they are sent, if set. */
   std::function<void(std::size_t host, std::vector<leaf_figure>&)> distort;
 };
@@ -72,7 +74,9 @@
   std::uint64_t offered = 0;  ///< First attempts.
   std::uint64_t refused = 0;  ///< Requests that ended without success.
   double on_time = 0;  ///< On-time successes, weighted by squared coverage.
-  std::vector<duration> times;          ///< Latencies of all successes.
+  std::vector<duration> times;  ///< Latencies of all successes.
+  /** Of them, those of hosts that had started less than 2 s before. */
+  std::vector<duration> early_times;
   std::vector<duration> refusal_times;  ///< From the attempt to its refusal.
 
   /** Latency that the given share of successes did not exceed. */
@@ -172,6 +176,7 @@
   void Handle(std::size_t, log_effect&) {}
   void Handle(std::size_t host, send_figures_effect& effect);
   void ScheduleReports();
+  void ScheduleRestarts(std::size_t next);
   void StartHost(std::size_t index);
   void StartWork(leaf& one);
   duration Distance(const host& from, const leaf& to) const;
