Send figures to hosts that start together in turn

Cause: after a power loss all senders would choose the same three hosts among those that have just started. Change: the turns begin at an offset that depends on the sender.

--- a/packages/gateway/leafs/performance_report.cpp
+++ b/packages/gateway/leafs/performance_report.cpp
@@ -13,6 +13,8 @@
 #include <string_view>
 #include <utility>
 
+#include "core/stable_hash.h"
+
 namespace corianderrail::gateway {
 
 namespace {
@@ -91,7 +93,11 @@
 
 figure_receivers::figure_receivers(std::string self, std::string region,
                                    entry_settings settings)
-    : self_(std::move(self)), region_(std::move(region)), settings_(settings) {}
+    : self_(std::move(self)),
+      region_(std::move(region)),
+      settings_(settings),
+      next_started_(HashBytes(self_)),
+      next_entry_(HashBytes(self_)) {}
 
 bool figure_receivers::HasJustStarted(const member_record& member,
                                       time_point now) {
@@ -105,7 +111,7 @@
 
 std::vector<const member_record*> figure_receivers::Next(
     std::span<const member_record> members, time_point now) {
-  std::vector<const member_record*> chosen;
+  std::vector<const member_record*> started;
   std::set<std::string_view> zones;
   std::set<host_id> present;
   for (const member_record& member : members) {
@@ -113,13 +119,14 @@
       continue;
     zones.insert(member.zone);
     present.insert(member.ref.host);
-    const bool started = HasJustStarted(member, now);
-    if (member.peer_address == self_ || !started) continue;
-    if (chosen.size() < kMaxReceivers) chosen.push_back(&member);
+    const bool fresh = HasJustStarted(member, now);
+    if (fresh && member.peer_address != self_) started.push_back(&member);
   }
   knows_fleet_ = true;
   std::erase_if(known_,
                 [&](const auto& one) { return !present.contains(one.first); });
+  std::vector<const member_record*> chosen;
+  TakeInTurn(started, next_started_, chosen);
   std::vector<const member_record*> entries;
   for (const std::string_view zone : zones) {
     for (const member_record* one : ActiveEntries(members, zone, settings_)) {
@@ -128,11 +135,18 @@
       if (one->peer_address != self_ && !taken) entries.push_back(one);
     }
   }
-  for (std::size_t i = 0; i < entries.size() && chosen.size() < kMaxReceivers;
+  TakeInTurn(entries, next_entry_, chosen);
+  return chosen;
+}
+
+/** Adds hosts from a turn on, until there are enough receivers. */
+void figure_receivers::TakeInTurn(std::span<const member_record* const> from,
+                                  std::uint64_t& turn,
+                                  std::vector<const member_record*>& chosen) {
+  for (std::size_t i = 0; i < from.size() && chosen.size() < kMaxReceivers;
        ++i) {
-    chosen.push_back(entries[next_entry_++ % entries.size()]);
+    chosen.push_back(from[turn++ % from.size()]);
   }
-  return chosen;
 }
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/leafs/performance_report.h
+++ b/packages/gateway/leafs/performance_report.h
@@ -70,14 +70,19 @@
     time_point since{};
   };
 
+  static void TakeInTurn(std::span<const member_record* const> from,
+                         std::uint64_t& turn,
+                         std::vector<const member_record*>& chosen);
   bool HasJustStarted(const member_record& member, time_point now);
 
   std::string self_;
   std::string region_;
   entry_settings settings_;
   std::map<host_id, known_host> known_;
-  bool knows_fleet_ = false;    ///< Members seen at first are not new.
-  std::size_t next_entry_ = 0;  ///< Turn of the hosts that take clients.
+  bool knows_fleet_ = false;  ///< Members seen at first are not new.
+  // Turns begin at different hosts, so that not all hosts send to the same.
+  std::uint64_t next_started_;  ///< Turn of the hosts that have just started.
+  std::uint64_t next_entry_;    ///< Turn of the hosts that take clients.
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/tests/shared_performance_test.cpp
+++ b/packages/gateway/tests/shared_performance_test.cpp
@@ -163,6 +163,20 @@
   for (const std::string& one : Next()) CHECK(one != members_[9].peer_address);
 }
 
+// Guards against senders that all name the same few hosts after a power loss.
+TEST_CASE_METHOD(receivers_fixture, "Receivers_AllRestart_AreReachedInTurn") {
+  Next();
+  for (member_record& one : members_) one.ref.incarnation = incarnation_id{2};
+  std::vector<std::string> all;
+  for (int i = 0; i < 3; ++i) {
+    const auto chosen = Next();
+    CHECK(chosen.size() == 3);
+    all.insert(all.end(), chosen.begin(), chosen.end());
+  }
+  std::sort(all.begin(), all.end());
+  CHECK(std::unique(all.begin(), all.end()) == all.end());
+}
+
 // Guards against figures of leafs that are as usual, and against a return to
 // the usual that other hosts do not hear of.
 TEST_CASE("Report_LeafDiffersThenReturns_SendsBoth") {
