--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -102,6 +102,7 @@
     from.open_calls = core.OpenCalls();
     from.known_leafs = core.Leafs();
     from.cold_leafs = core.ColdLeafs();
+    from.differing_leafs = core.DifferingLeafs();
     from.version = static_cast<std::uint64_t>(core.Version());
     from.evacuated_zones = core.Evacuations().Size();
     from.exclusions = core.Exclusions();
--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -18,7 +18,7 @@
 
 /** Indexed by gateway::decision. Failures and refusals may use more lines than
  *  changes of state. At 300 bytes per line, all kinds together write less than
- *  50 KB/s sustained (165 lines per second). */
+ *  60 KB/s sustained (197 lines per second). */
 inline constexpr std::array<decision_row, gateway::kDecisions> kDecisionRows = {
     {
         {"request_refused", 40, 200},
@@ -33,6 +33,7 @@
         {"leaf_listed", 10, 200},
         {"leaf_delisted", 10, 200},
         {"leaf_leaving", 10, 200},
+        {"leaf_speed", 10, 50},
         {"config_in_force", 5, 20},
         {"zone_evacuated", 1, 20},
         {"zone_restored", 1, 20},
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/leafs/evacuation.h"
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/leafs/leaf_selector.h"
+#include "gateway/leafs/performance_report.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/route_table.h"
 
@@ -80,6 +81,7 @@
   const evacuation& Evacuations() const { return evacuations_; }
   const exclusion_counts& Exclusions() const { return selector_.Exclusions(); }
   std::size_t ColdLeafs() const { return cold_leafs_; }
+  std::size_t DifferingLeafs() const { return report_.Differing(); }
 
  private:
   struct part;
@@ -110,6 +112,8 @@
   void On(evacuation_event& input, time_point now);
   void On(stop_event& input, time_point now);
   void On(wake_event& input, time_point now);
+  void On(leaf_figures_event& input, time_point now);
+  void On(report_event& input, time_point now);
   void OnTimer(const timer& due, time_point now);
   void RecordAnswer(leaf_state& leaf, const open_request& call, leaf_call id,
                     const leaf_answer& answer, time_point now);
@@ -211,6 +215,7 @@
   retry_schedule retry_schedule_;
   loop_lag lag_;                    ///< How late requests are read.
   connection_warmup warmup_;        ///< Leafs to connect to in advance.
+  performance_report report_;       ///< Figures for other hosts.
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -10,6 +10,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/id_type.h"
+#include "core/peer_message_type.h"
 #include "core/time_type.h"
 #include "gateway/leafs/connection_share.h"
 #include "gateway/leafs/evacuation.h"
@@ -81,6 +83,15 @@
   std::vector<zone_host> zone_hosts = {};  ///< Hosts of this host's zone.
 };
 
+/** Another host sent figures about leafs. */
+struct leaf_figures_event {
+  host_id from{};                    ///< Sender, by its signature.
+  std::vector<leaf_figure> figures;  ///< At most kMaxLeafFigures.
+};
+
+/** Figures for other hosts are due. */
+struct report_event {};
+
 /** Reloadable settings changed. */
 struct settings_event {
   double repeat_ratio = 0;  ///< Repeats allowed per first request.
@@ -105,7 +116,8 @@
     std::variant<request_event, client_disconnected_event, leaf_answer_event,
                  leaf_failure_event, leaf_connected_event, config_event,
                  registry_event, startup_event, fleet_event, settings_event,
-                 leaving_event, evacuation_event, stop_event, wake_event>;
+                 leaving_event, evacuation_event, stop_event, wake_event,
+                 leaf_figures_event, report_event>;
 
 /** Sends a request to a leaf. */
 struct send_leaf_effect {
@@ -150,6 +162,11 @@
   leaf_call call{};  ///< From send_leaf_effect.
 };
 
+/** Sends figures about leafs to some other hosts. */
+struct send_figures_effect {
+  std::vector<leaf_figure> figures;  ///< Not empty.
+};
+
 /** Answers a client. */
 struct answer_effect {
   exchange_id exchange{};  ///< From request_event.
@@ -170,13 +187,14 @@
   leaf_listed,      ///< The registry added or changed a leaf.
   leaf_delisted,    ///< The registry removed a leaf, or it is draining.
   leaf_leaving,     ///< A leaf stated in an answer that it will stop.
+  leaf_speed,       ///< A leaf differs from the usual, or no longer.
   config_in_force,  ///< A newer configuration became active.
   zone_evacuated,   ///< The evacuation of a zone began.
   zone_restored,    ///< The evacuation of a zone ended.
   leaf_cold,        ///< The rate of a leaf is limited from now on.
   leaf_warm,        ///< The rate of a leaf is no longer limited.
 };
-inline constexpr std::size_t kDecisions = 17;
+inline constexpr std::size_t kDecisions = 18;
 
 /** One value that a decision was based on. */
 struct decision_input {
@@ -191,10 +209,10 @@
   std::vector<decision_input> inputs;  ///< Values that led to it.
 };
 
-using effect =
-    std::variant<send_leaf_effect, cancel_leaf_effect, connect_leaf_effect,
-                 disconnect_leaf_effect, stop_sending_effect,
-                 withdraw_call_effect, answer_effect, log_effect>;
+using effect = std::variant<send_leaf_effect, cancel_leaf_effect,
+                            connect_leaf_effect, disconnect_leaf_effect,
+                            stop_sending_effect, withdraw_call_effect,
+                            answer_effect, log_effect, send_figures_effect>;
 using effect_list = std::vector<effect>;
 
 /** Why a request is sent to a leaf. */
@@ -236,6 +254,9 @@
   std::uint64_t returned = 0;          ///< Requests of returning clients.
   std::uint64_t returned_refused = 0;  ///< Of these, refused on arrival.
   std::uint64_t late_parts_held = 0;   ///< Late parts kept from free leafs.
+  std::uint64_t figures_received = 0;  ///< About leafs, from hosts.
+  std::uint64_t figures_sent = 0;      ///< Once for all receivers.
+  std::uint64_t shared_choices = 0;    ///< Made with such figures.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
 
--- a/packages/gateway/leafs/leaf_directory.cpp
+++ b/packages/gateway/leafs/leaf_directory.cpp
@@ -50,6 +50,7 @@
     return ended;
   }
   leaf->record = *change.record;
+  leaf->boot = BootOf(leaf->record);
   leaf->replaced = false;
   leaf->cold_until = now + change.record->cold_left;
   leaf->cold.OnEntry(change.record->cold_left, timing.changed_after, now);
@@ -64,13 +65,17 @@
                                 const registry_timing& timing, time_point now) {
   auto fresh = memory_.Take(key, record);
   const bool is_new = !fresh;
-  if (is_new) fresh = std::make_unique<leaf_state>();
+  if (is_new) {
+    fresh = std::make_unique<leaf_state>();
+    fresh->monitor = leaf_monitor(settings_.performance);
+  }
   leaf_state& leaf = *fresh;
   if (is_new && record.born_unix_ms != 0) leaf.cold.OnStarted(now);
   leaf.cold.OnEntry(record.cold_left, timing.changed_after, now);
   leaf.handle = leaf_handle{next_handle_++};
   leaf.key = key;
   leaf.record = record;
+  leaf.boot = BootOf(record);
   leaf.replaced = false;
   // Whoever is first seen draining may have done so for long.
   SetListing(leaf, record.draining ? listing::draining : listing::listed,
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -15,6 +15,7 @@
 #include "gateway/leafs/evacuation.h"
 #include "gateway/leafs/leaf_choice.h"
 #include "gateway/leafs/leaf_directory.h"
+#include "gateway/leafs/shared_performance.h"
 #include "gateway/routing/residency.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/routing_type.h"
@@ -57,6 +58,9 @@
   void SetStarted(time_point started) { started_ = started; }
   void SetFleet(const fleet_event& fleet) { fleet_ = fleet; }
 
+  /** Figures of other hosts about leafs. */
+  shared_performance& Shared() { return shared_; }
+
   /** Replaces the candidates by those for a part. */
   void Collect(const leaf_query& query, time_point now);
 
@@ -103,11 +107,16 @@
   void LimitCold(const leaf_state& leaf, leaf_candidate& candidate,
                  time_point now);
 
+  std::uint32_t Concurrency(const leaf_state& leaf, time_point now) const;
+  void ApplyShared(const leaf_state& leaf, leaf_candidate& candidate,
+                   time_point now) const;
+
   location here_;
   leaf_directory& directory_;
   const evacuation& evacuations_;
   mutable cold_permits cold_;  ///< Mutable: notes positions when asked.
   std::uint32_t permit_skips_ = 0;
+  shared_performance shared_;
   fleet_event fleet_;     ///< Latest size of the fleet.
   time_point started_{};  ///< Time of the first event of this process.
   std::vector<leaf_candidate> candidates_;
