Correct the sum of the log rates

Cause: the comment gave 165 lines a second; the table had 175, and two kinds of 5 were added.

Change: the sum and the bytes in the comment.

--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -18,7 +18,7 @@
 
 /** Indexed by gateway::decision. Failures and refusals may use more lines than
  *  changes of state. At 300 bytes per line, all kinds together write less than
- *  50 KB/s sustained (165 lines per second). */
+ *  60 KB/s sustained (185 lines per second). */
 inline constexpr std::array<decision_row, gateway::kDecisions> kDecisionRows = {
     {
         {"request_refused", 40, 200},
