Pause between listings of a store whose watches need one each time

Cause: store_follower::OnFailure listed anew at once for each watch that was unreadable, too large or compacted. The listing between two such watches ends the count of consecutive failures, so a store whose watches all fail this way was listed without a pause; so was one that answers each listing with 'compacted'.

Change: listings after such failures are counted until a watch succeeds. The first one is due at once as before, later ones after the usual backoff.

--- a/packages/gateway/store/store_follower.cpp
+++ b/packages/gateway/store/store_follower.cpp
@@ -148,6 +148,7 @@
 
 std::vector<store_item> store_follower::OnChanges(store_reply reply,
                                                   time_point now) {
+  relistings_ = 0;
   std::vector<store_item> changes = OnOtherReply(std::move(reply));
   if (next_ == store_read_cause::catch_up) {
     CompleteListing(now);
@@ -175,6 +176,27 @@
   due_ = at;
 }
 
+/** Pause after the given number of failures before the present one. Half of it
+ *  is random, so that hosts do not retry simultaneously. */
+duration store_follower::Backoff(std::uint32_t failures_before) {
+  const std::uint32_t doublings = std::min<std::uint32_t>(failures_before, 8);
+  const duration limit = std::min(
+      settings_.first_backoff * (1 << doublings),
+      listed_ ? settings_.longest_backoff : settings_.first_listing_backoff);
+  return limit / 2 +
+         duration(random_.Below(static_cast<std::uint64_t>(limit.count()) / 2));
+}
+
+/** Lists anew: the first time at once, then with a growing pause until a watch
+ *  succeeds. A listing succeeds between two such failures, so they do not count
+ *  as consecutive failures. */
+void store_follower::ListAnew(time_point now) {
+  const duration pause =
+      relistings_ == 0 ? duration::zero() : Backoff(relistings_ - 1);
+  ++relistings_;
+  StartListing(now + pause);
+}
+
 void store_follower::OnFailure(store_failure failure, time_point now) {
   open_ = false;
   // Another stale listing could be as old as the lost history.
@@ -182,18 +204,11 @@
       NeedsListing(failure) && next_ != store_read_cause::listing;
   compacted_ = compacted_ || relists || failure == store_failure::compacted;
   if (relists || failure == store_failure::compacted) {
-    StartListing(now);
+    ListAnew(now);
     return;
   }
-  const std::uint32_t doublings = std::min<std::uint32_t>(failures_, 8);
+  const duration pause = Backoff(failures_);
   ++failures_;
-  const duration limit = std::min(
-      settings_.first_backoff * (1 << doublings),
-      listed_ ? settings_.longest_backoff : settings_.first_listing_backoff);
-  // Half of the backoff is random, so that hosts do not retry simultaneously.
-  const duration pause =
-      limit / 2 +
-      duration(random_.Below(static_cast<std::uint64_t>(limit.count()) / 2));
   if (next_ == store_read_cause::listing) {
     StartListing(now + pause);
     return;
--- a/packages/gateway/store/store_follower.h
+++ b/packages/gateway/store/store_follower.h
@@ -103,6 +103,8 @@
   std::vector<store_item> OnChanges(store_reply reply, time_point now);
   duration NextPause(time_point now);
   void StartListing(time_point at);
+  void ListAnew(time_point now);
+  duration Backoff(std::uint32_t failures_before);
   void CompleteListing(time_point now);
   void Accept(store_item item, std::vector<store_item>& changes);
 
@@ -118,6 +120,7 @@
   std::uint64_t listing_revision_ = 0;  ///< Lowest store revision of its pages.
   std::uint64_t revision_ = 0;          ///< All changes up to it were seen.
   std::uint32_t failures_ = 0;          ///< Consecutive failures.
+  std::uint32_t relistings_ = 0;        ///< Since the last answered watch.
   time_point due_{};
   bool from_store_ = true;    ///< Source of the last reply.
   duration pause_{};          ///< Last pause after a change.
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -166,6 +166,49 @@
   CHECK(NextRead().revision == 31);
 }
 
+// Guards against listing a store without a pause as long as each of its
+// watches fails in a way that needs a listing: the listings between them
+// succeed and must not end the backoff.
+TEST_CASE_METHOD(follower_fixture,
+                 "Follower_WatchesNeedListing_BacksOffToAMaximum") {
+  const store_failure failure =
+      GENERATE(store_failure::unreadable, store_failure::too_large,
+               store_failure::compacted);
+  List();
+  int calls = 0;
+  const time_point end = now_ + seconds(10);
+  while (now_ < end && calls < 1000) {
+    ++calls;
+    if (NextRead().kind == store_read_kind::list) {
+      Reply({Item("p/a", 3), Item("p/b", 5)}, 10);
+    } else {
+      follower_.OnFailure(failure, now_);
+    }
+  }
+  CHECK(calls < 50);
+  CHECK(calls > 16);
+  // A watch that succeeds ends the series: the next listing is due at once.
+  while (NextRead().kind == store_read_kind::list) Reply({}, 10);
+  Reply({}, 11);
+  NextRead();
+  follower_.OnFailure(failure, now_);
+  CHECK(follower_.NextWake() == now_);
+}
+
+// Guards against the same for a store that refuses the listing itself.
+TEST_CASE_METHOD(follower_fixture,
+                 "Follower_ListingCompacted_BacksOffToAMaximum") {
+  List();
+  int calls = 0;
+  const time_point end = now_ + seconds(10);
+  while (now_ < end && calls < 1000) {
+    NextRead();
+    follower_.OnFailure(store_failure::compacted, now_);
+    ++calls;
+  }
+  CHECK(calls < 25);
+}
+
 // Guards against overloading a store that is down.
 TEST_CASE_METHOD(follower_fixture, "Follower_StoreDown_BacksOffToAMaximum") {
   List();
