Bound what is held for clients that read or send slowly

Cause: a host kept answers that clients do not read for up to 10 s and bodies that clients send slowly for up to 3 s, for any number of connections; the kernel buffered more, and each idle connection kept the capacity of its largest answer and read buffer.

Change: byte_budget gets bounds for a message and a peer beside the total, and a measure of pace (peer_pace). The message whose peer is furthest behind the usual pace is given up; if none is behind, it is the largest of the peer that holds most, as before. http_server counts unread answers, with the bytes that the kernel holds, and incomplete requests by connection and client address, and resets the connections that the budget names. The body of a pipelined request is read once the present request is answered. memory_shares derives the bounds from the memory of the host. The sessions of http_server are in a file of their own.

Result: gateway_tests and edge_tests pass. In a trial without giving up, 4 of the new tests of slow clients and all of byte_budget fail.

--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
@@ -14,6 +13,9 @@
 #include <vector>
 
 #include "core/time_type.h"
+#include "edge/connection_end.h"
+#include "edge/socket_state.h"
+#include "gateway/admission/byte_budget.h"
 #include "gateway/message_type.h"
 #include "gateway/routing/routing_type.h"
 
@@ -46,6 +48,8 @@
   std::uint64_t accept_failures = 0;  ///< No descriptor or memory.
   std::uint64_t malformed = 0;        ///< Requests: invalid HTTP or too large.
   std::uint64_t open = 0;             ///< Connections open now.
+  held_counters answers;              ///< That clients have not read.
+  held_counters requests;             ///< Incomplete ones.
 };
 
 /** Callbacks of a server, all on the thread of its io_context. */
@@ -54,6 +58,8 @@
   std::function<void(request_id, http_request&&)> on_request;
   /** The client closed its connection before the answer. */
   std::function<void(request_id)> on_disconnect;
+  /** A connection was ended for what it held, or as it made no progress. */
+  connection_end_sink on_end = {};
 };
 
 /**
@@ -83,10 +89,15 @@
    * is not complete yet, also on connections that are open already. */
   void SetLimits(const gateway::client_limits& limits);
 
+  /** Bounds what is held for clients that read and send slowly. */
+  void SetBounds(const gateway::byte_bounds& answers,
+                 const gateway::byte_bounds& requests);
+
   /** From now on the connection is closed after each answer. */
   void StartDraining();
 
-  /** Closes connections that have exceeded a time limit. */
+  /** Closes connections that have exceeded a time limit, and counts what the
+   *  others hold. */
   void Sweep();
 
   http_server_counters Counters() const;
@@ -96,7 +107,4 @@
   std::shared_ptr<state> state_;
 };
 
-/** Parses "ip:port". @throws std::invalid_argument on any other text. */
-boost::asio::ip::tcp::endpoint ParseEndpoint(const std::string& address);
-
 }  // namespace corianderrail::edge
