Bound what is held for leafs that do not read, and what is in flight to one

Cause: requests that leafs have not read took memory without a bound, each connection kept the buffer of its largest request, and a leaf could get any number of bytes at once.

Change: leaf_pool counts unread requests, with the bytes that the kernel holds, by call and leaf; at a bound the connection that byte_budget names is reset and its call fails as broken. A request beyond 1 MiB in flight to a leaf waits in the pool. Each connection that ends is logged as connection_ended and counted in connections_ended_total; held_bytes and leaf_requests_delayed_total are new metrics.

--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -32,6 +32,7 @@
     Reduce(gateway::client_disconnected_event{
         gateway::exchange_id{static_cast<std::uint64_t>(id)}});
   };
+  handler.on_end = [this](const connection_end& end) { OnConnectionEnd(end); };
   return handler;
 }
 
--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -83,6 +83,9 @@
     {"leaf_malformed_total", "counter",
      "Leaf answers that violate HTTP or name another attempt.",
      [](const snapshot& s) { return s.leafs.malformed; }},
+    {"leaf_requests_delayed_total", "counter",
+     "Requests that waited for the bytes in flight to their leaf.",
+     [](const snapshot& s) { return s.leafs.delayed; }},
     {"members", "gauge", "Hosts known, this one included.",
      [](const snapshot& s) { return s.members; }},
     {"peer_bytes_sent_total", "counter",
@@ -175,6 +178,32 @@
   }
 }
 
+/** What is held for slow clients and leafs, and the connections that ended for
+ *  it. */
+void AppendHeld(std::string& text, const snapshot& from) {
+  const std::array<held_counters, kHeldKinds> all = {
+      from.clients.answers, from.clients.requests, from.leafs.requests,
+      from.leafs.answers};
+  constexpr std::string_view kBytes = "held_bytes";
+  AppendMetricHeader(text, kBytes, "gauge",
+                     "Bytes held for clients and leafs, by kind.");
+  for (std::size_t i = 0; i < kHeldKinds; ++i) {
+    const auto kind = HeldKindName(static_cast<held_kind>(i));
+    text.append(kPrefix).append(kBytes).append("{held=\"").append(kind);
+    text.append("\"} ").append(std::to_string(all[i].bytes)).append("\n");
+  }
+  constexpr std::string_view kEnded = "connections_ended_total";
+  AppendMetricHeader(text, kEnded, "counter",
+                     "Connections ended for what they held, by cause.");
+  for (std::size_t i = 0; i < kHeldKinds; ++i) {
+    const std::string held(HeldKindName(static_cast<held_kind>(i)));
+    for (std::size_t j = 0; j < kEndCauses; ++j) {
+      AppendCause(text, kEnded, EndCauseName(static_cast<end_cause>(j)),
+                  ",held=\"" + held + "\"", all[i].ended[j]);
+    }
+  }
+}
+
 constexpr std::array<std::string_view, gateway::kStoreReadCauses>
     kStoreReadCauseNames = {"listing", "catch_up", "watch", "probe"};
 
@@ -235,6 +264,7 @@
                 from.core.refused[i]);
   }
   AppendSends(text, from.core.sends);
+  AppendHeld(text, from);
   AppendStoreCalls(text, from.store_calls);
   AppendStoreFailures(text, from.store_failures);
   AppendAnswerLatencies(text, from.answers);
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -261,6 +261,7 @@
   }
   Reduce(gateway::config_event{std::move(config)});
   client_server.SetLimits(core.Limits());
+  SetMemoryBounds();
 }
 
 void edge_process::state::OnLeafs(const gateway::store_update& update) {
@@ -445,6 +446,7 @@
   const decision_input inputs[] = {{"zone", self.settings.zone},
                                    {"address", self.settings.client_address}};
   self.log.WriteEvent("started", inputs);
+  self.StartMemoryBounds();
   self.WaitForSignal();
   self.peers.Start([&self] { self.OnMembersChanged(); });
   self.OnMembers();
--- a/packages/edge/edge_settings.cpp
+++ b/packages/edge/edge_settings.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint64_t kMinDescriptors = 64;
 constexpr std::uint64_t kMaxDescriptors = 1'000'000;
 
+/** Bounds of memory_limit_mb. */
+constexpr std::uint64_t kMinMemoryMb = 64;
+constexpr std::uint64_t kMaxMemoryMb = 1u << 20;
+
 constexpr std::uint64_t kMaxMilliseconds = 3'600'000;
 constexpr std::uint64_t kMaxTtlS = 3600;
 constexpr std::size_t kMaxSeeds = 64;
@@ -76,6 +80,9 @@
   into.cores = from.Number("cores", 0.01, 1024, presence::optional, into.cores);
   into.link_mbps =
       from.Number("link_mbps", 0.1, 1e6, presence::optional, into.link_mbps);
+  into.memory_limit = gateway::memory_limit_mb{from.Integer(
+      "memory_limit_mb", kMinMemoryMb, kMaxMemoryMb, presence::optional,
+      static_cast<std::uint64_t>(into.memory_limit))};
   into.repeat_ratio =
       from.Number("repeat_ratio", 0, 10, presence::optional, into.repeat_ratio);
   into.repeat_slack = from.Number("repeat_slack", 0, 1e9, presence::optional,
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/time_type.h"
+#include "gateway/admission/memory_shares.h"
 
 namespace corianderrail::edge {
 
@@ -37,8 +38,10 @@
   std::string shared_key;          ///< Signs datagrams between hosts.
   std::uint64_t max_descriptors = 1024;  ///< Limit of open file descriptors.
   double processor_share = 1;            ///< This process's part of a core.
-  double cores = 1;           ///< Speed of that core; 1 is a usual core.
-  double link_mbps = 1000;    ///< Bandwidth of the host's link.
+  double cores = 1;         ///< Speed of that core; 1 is a usual core.
+  double link_mbps = 1000;  ///< Bandwidth of the host's link.
+  /** Memory of this host, from which the bounds for slow peers follow. */
+  gateway::memory_limit_mb memory_limit = gateway::kDefaultMemoryLimit;
   double repeat_ratio = 0.2;  ///< Repeats per first request, fleet-wide.
   double repeat_slack = 0;    ///< Further repeats per window, fleet-wide.
   duration repeat_window = std::chrono::seconds(10);  ///< Sliding window.
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -66,6 +66,9 @@
   http_handler LookupHandler();
   http_handler MetricsHandler();
   store_link_settings StoreLinkSettings();
+  void StartMemoryBounds();
+  void SetMemoryBounds();
+  void OnConnectionEnd(const connection_end& end);
   void OnSource(const source_change& change);
   void OnStoreUpdate(const gateway::store_update& update);
   void OnConfig(const gateway::store_item& item);
--- a/packages/edge/held_bytes.h
+++ b/packages/edge/held_bytes.h
@@ -2,9 +2,9 @@
 
 #pragma once
 
+#include <array>
 #include <cstddef>
-#include <functional>
-#include <string>
+#include <cstdint>
 #include <vector>
 
 #include "core/time_type.h"
@@ -28,8 +28,9 @@
   std::vector<gateway::given_up_message> Update(gateway::message_id message,
                                                 gateway::sender_id sender,
                                                 std::size_t bytes,
-                                                std::size_t moved) {
-    return budget_.Update(message, sender, {bytes, moved, Now()});
+                                                std::size_t moved,
+                                                time_point now = Now()) {
+    return budget_.Update(message, sender, {bytes, moved, now});
   }
 
   void Remove(gateway::message_id message) { budget_.Remove(message); }
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -37,6 +37,12 @@
  *  limit. */
 constexpr std::chrono::milliseconds kFullBackoff{300};
 
+/** Whether a request to a leaf may be written now. One alone always may. */
+bool HasRoom(std::size_t in_flight, const gateway::send_leaf_effect& next) {
+  return in_flight == 0 || in_flight + RequestBytes(*next.request) <=
+                               gateway::kMaxLeafBytesInFlight;
+}
+
 }  // namespace
 
 leaf_pool::state::leaf& leaf_pool::state::Leaf(leaf_handle handle,
@@ -56,22 +62,29 @@
 /**
  * Counts the bytes of an incomplete answer. If all together are too many, the
  * largest ones of the leaf that holds most are given up: their calls fail, and
- * so frees its connections.
+ * so frees its connections. The pace is left out: a leaf that works on a large
+ * answer may send slowly.
  * @return False when the given answer is one of them.
  */
 bool leaf_pool::state::Reserve(leaf_handle handle, leaf_call call,
                                std::size_t bytes) {
   const gateway::message_id message{static_cast<std::uint64_t>(call)};
   const gateway::sender_id sender{static_cast<std::uint64_t>(handle)};
+  return EndAll(incomplete, message,
+                incomplete.Update(message, sender, bytes, 0, time_point{}));
+}
+
+/** Ends the connections that a bound gives up. @return False when the present
+ *  one is among them. */
+bool leaf_pool::state::EndAll(
+    held_bytes& held, gateway::message_id present,
+    const std::vector<gateway::given_up_message>& given_up) {
   bool kept = true;
-  for (const auto given_up : incomplete.Set(message, sender, bytes)) {
-    if (given_up == message) {
-      kept = false;
-      continue;
-    }
-    const auto found = busy.find(static_cast<std::uint64_t>(given_up));
+  for (const gateway::given_up_message& one : given_up) {
+    kept = kept && one.message != present;
+    const auto found = busy.find(static_cast<std::uint64_t>(one.message));
     if (found == busy.end()) continue;
-    if (const auto one = found->second.lock()) one->GiveUp();
+    if (const auto ended = found->second.lock()) ended->End(held, one);
   }
   return kept;
 }
@@ -103,6 +116,7 @@
   leaf& to = found->second;
   Withdraw(to);
   while (!to.pending.empty()) {
+    if (!HasRoom(to.in_flight, to.pending.front())) return;
     const connection_ptr idle = PopIdle(to, !to.pending.front().idempotent);
     if (!idle) break;
     gateway::send_leaf_effect next = std::move(to.pending.front());
@@ -199,6 +213,7 @@
 
 leaf_pool::~leaf_pool() {
   state_->sink = [](const gateway::event&) {};
+  state_->on_end = {};
   for (auto& [handle, to] : state_->leafs) to.pending.clear();
   std::vector<state::connection_ptr> all;
   for (auto& [handle, to] : state_->leafs) {
@@ -213,6 +228,7 @@
   to.max_connections = std::max<std::uint32_t>(effect.connections, 1);
   to.keep_idle = effect.keep_idle;
   to.send_before = effect.send_before;
+  if (!HasRoom(to.in_flight, effect)) ++state_->counters.delayed;
   to.pending.push_back(std::move(effect));
   state_->SendPending(handle);
 }
@@ -226,7 +242,10 @@
   for (auto& [handle, to] : state_->leafs) {
     const auto erased = std::erase_if(
         to.pending, [&](const auto& one) { return one.call == call; });
-    if (erased > 0) return;
+    if (erased == 0) continue;
+    // The next one may be small enough to be sent.
+    state_->SendPending(handle);
+    return;
   }
 }
 
@@ -273,11 +292,27 @@
     }
   }
   for (const auto& one : expired) one->Close();
+  std::vector<state::connection_ptr> sending;
+  for (const auto& [call, weak] : state_->busy) {
+    if (auto one = weak.lock()) sending.push_back(std::move(one));
+  }
+  for (const auto& one : sending) one->CountUnread();
+}
+
+void leaf_pool::SetBounds(const gateway::memory_shares& shares) {
+  state_->unread.SetBounds(shares.leaf_requests);
+  state_->incomplete.SetBounds(shares.leaf_answers);
+}
+
+void leaf_pool::OnEnd(connection_end_sink sink) {
+  state_->on_end = std::move(sink);
 }
 
 leaf_pool_counters leaf_pool::Counters() const {
   leaf_pool_counters counters = state_->counters;
   counters.answer_bytes = state_->incomplete.Total();
+  counters.requests = state_->unread.Counters();
+  counters.answers = state_->incomplete.Counters();
   for (const auto& [handle, to] : state_->leafs) {
     counters.open += to.all.size();
   }
--- a/packages/edge/leaf_pool.h
+++ b/packages/edge/leaf_pool.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 
+#include "edge/connection_end.h"
+#include "gateway/admission/memory_shares.h"
 #include "gateway/gateway_type.h"
 
 namespace corianderrail::edge {
@@ -18,6 +20,9 @@
   std::uint64_t malformed = 0;     ///< Answers: invalid HTTP, other attempt.
   std::uint64_t open = 0;          ///< Connections open now.
   std::uint64_t answer_bytes = 0;  ///< Bodies of incomplete answers now.
+  std::uint64_t delayed = 0;  ///< Requests that waited for bytes in flight.
+  held_counters requests;     ///< That leafs have not read.
+  held_counters answers;      ///< Incomplete ones.
 };
 
 /**
@@ -55,7 +60,14 @@
    *  idle. */
   void Disconnect(gateway::leaf_handle leaf);
 
-  /** Closes connections whose idle limit has passed. */
+  /** Bounds what is held for leafs that read and send slowly. */
+  void SetBounds(const gateway::memory_shares& shares);
+
+  /** Sets who is told of connections that end for what they hold. */
+  void OnEnd(connection_end_sink sink);
+
+  /** Closes connections whose idle limit has passed, and counts what leafs have
+   *  not read. */
   void Sweep();
 
   leaf_pool_counters Counters() const;
--- a/packages/edge/leaf_pool_connection.cpp
+++ b/packages/edge/leaf_pool_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <string_view>
+#include <utility>
 
 #include "edge/http_server.h"
 #include "edge/leaf_pool_state.h"
@@ -37,6 +38,10 @@
  *  while they arrive. */
 constexpr std::size_t kSmallAnswerBytes = 64u << 10;
 
+/** A request of at most this size is counted only if the leaf has not read it
+ *  at a later check, so that usual requests cost no accounting. */
+constexpr std::size_t kSmallRequestBytes = 16u << 10;
+
 /** Interim (1xx) answers before the answer. */
 constexpr std::uint32_t kMaxInterimAnswers = 8;
 
@@ -65,6 +70,14 @@
 
 }  // namespace
 
+std::size_t RequestBytes(const gateway::client_request& request) {
+  std::size_t bytes = request.target.size() + request.body.size();
+  for (const gateway::header_field& field : request.fields) {
+    bytes += field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 void leaf_pool::state::connection::Open(const std::string& address) {
   timer_.expires_after(kConnectTimeout);
   timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -98,14 +111,56 @@
   owner_->busy[static_cast<std::uint64_t>(current_->call)] = weak_from_this();
   writing_ = true;
   write_error_.clear();
-  asio::async_write(socket_, asio::buffer(write_buffer_),
-                    [self = shared_from_this()](error_code error, std::size_t) {
-                      // An answer may still arrive, so the read decides the
-                      // outcome.
-                      self->writing_ = false;
-                      self->write_error_ = error;
-                    });
+  written_ = 0;
+  unread_ = true;
+  in_flight_ = RequestBytes(*current_->request);
+  owner_->leafs[handle_].in_flight += in_flight_;
+  asio::async_write(
+      socket_, asio::buffer(write_buffer_),
+      [self = shared_from_this()](const error_code& error, std::size_t size) {
+        return error ? 0 : self->OnWriteStep(size);
+      },
+      [self = shared_from_this()](error_code error, std::size_t) {
+        // An answer may still arrive, so the read decides the
+        // outcome.
+        self->writing_ = false;
+        self->write_error_ = error;
+        // Not clear(), which would keep the memory while the connection is
+        // idle.
+        self->write_buffer_ = {};
+      });
   StartRead();
+  if (write_buffer_.size() > kSmallRequestBytes) CountUnread();
+}
+
+/** @return How much to write next. */
+std::size_t leaf_pool::state::connection::OnWriteStep(std::size_t written) {
+  constexpr std::size_t kPiece = 64u << 10;
+  sent_ += written - written_;
+  written_ = written;
+  const std::size_t left = write_buffer_.size() - written;
+  if (written > 0 && left > 0) CountUnread();
+  return closed_ ? 0 : std::min(left, kPiece);
+}
+
+/** Counts what the leaf has not read: the request, which is kept until all of
+ *  it is written, and what the system holds. */
+void leaf_pool::state::connection::CountUnread() {
+  if (closed_ || !current_ || !unread_) return;
+  const gateway::message_id message{static_cast<std::uint64_t>(current_->call)};
+  const std::size_t queued = UnconfirmedBytes(socket_);
+  const std::uint64_t confirmed =
+      std::max(confirmed_, sent_ - std::min<std::uint64_t>(queued, sent_));
+  const std::size_t moved = confirmed - std::exchange(confirmed_, confirmed);
+  const std::size_t held = write_buffer_.size() + queued;
+  unread_ = held > 0;
+  if (!unread_) {
+    owner_->unread.Remove(message);
+    return;
+  }
+  const gateway::sender_id leaf{static_cast<std::uint64_t>(handle_)};
+  owner_->EndAll(owner_->unread, message,
+                 owner_->unread.Update(message, leaf, held, moved));
 }
 
 // Reading starts together with the write, because a leaf may answer before it
@@ -157,7 +212,7 @@
         const std::size_t size = self->parser_->get().body().size();
         if (!error &&
             !self->owner_->Reserve(self->handle_, self->current_->call, size)) {
-          error = http::make_error_code(http::error::body_limit);
+          return;  // Ended.
         }
         if (error || self->parser_->is_done()) {
           self->OnAnswer(error);
@@ -169,8 +224,8 @@
 
 void leaf_pool::state::connection::OnAnswer(error_code error) {
   if (closed_ || !current_) return;
-  const gateway::message_id message{static_cast<std::uint64_t>(current_->call)};
-  owner_->incomplete.Remove(message);
+  owner_->incomplete.Remove(
+      gateway::message_id{static_cast<std::uint64_t>(current_->call)});
   // Only the end of the connection says that such an answer is complete.
   const bool ends_here = !error && parser_->need_eof();
   if (ends_here && !EndedInOrder(SignsOf(socket_, error, write_error_))) {
@@ -220,9 +275,8 @@
     idle_limit_ = *limit - std::min<clock::duration>(kIdleMargin, *limit);
   }
   gateway::leaf_answer answer = platform::DecodeLeafAnswer(std::move(message));
-  const gateway::send_leaf_effect done = std::move(*current_);
-  current_.reset();
-  owner_->busy.erase(static_cast<std::uint64_t>(done.call));
+  const gateway::send_leaf_effect done = *current_;
+  EndCall();
   const bool wrong_attempt =
       answer.attempt != done.request->attempt &&
       (!answer.attempt.empty() || owner_->NamesAttempts(handle_));
@@ -265,29 +319,41 @@
 void leaf_pool::state::connection::FailCall(leaf_failure failure) {
   if (!current_) return;
   const leaf_call call = current_->call;
-  current_.reset();
-  owner_->busy.erase(static_cast<std::uint64_t>(call));
+  EndCall();
   owner_->Fail(call, failure);
 }
 
-/** Fails the call, because its answer fills the memory for all answers. */
-void leaf_pool::state::connection::GiveUp() {
-  ++owner_->counters.malformed;
-  FailCall(leaf_failure::malformed);
+/** Forgets the present call and what is counted for it. */
+void leaf_pool::state::connection::EndCall() {
+  const auto call = static_cast<std::uint64_t>(current_->call);
+  owner_->busy.erase(call);
+  owner_->incomplete.Remove(gateway::message_id{call});
+  owner_->unread.Remove(gateway::message_id{call});
+  const auto leaf = owner_->leafs.find(handle_);
+  if (leaf != owner_->leafs.end()) leaf->second.in_flight -= in_flight_;
+  in_flight_ = 0;
+  current_.reset();
+}
+
+/** Fails the call and drops what the connection holds. A request may have been
+ *  received in whole, so the call counts as broken. */
+void leaf_pool::state::connection::End(held_bytes& held,
+                                       const gateway::given_up_message& cause) {
+  const connection_end end{held.Kind(), CauseOf(cause.bound), PeerName(socket_),
+                           cause.bytes, cause.behind};
+  const bool of_answer = held.Kind() == held_kind::leaf_answer;
+  if (of_answer) ++owner_->counters.malformed;
+  FailCall(of_answer ? leaf_failure::malformed : leaf_failure::broken);
+  if (!of_answer) ResetConnection(socket_);
   Close();
+  held.Report(owner_->on_end, end);
 }
 
 void leaf_pool::state::connection::Close() {
   if (closed_) return;
   const auto self = shared_from_this();
   closed_ = true;
-  if (current_) {
-    const gateway::message_id message{
-        static_cast<std::uint64_t>(current_->call)};
-    owner_->incomplete.Remove(message);
-    owner_->busy.erase(static_cast<std::uint64_t>(current_->call));
-    current_.reset();
-  }
+  if (current_) EndCall();
   error_code ignored;
   timer_.cancel();
   socket_.close(ignored);
--- a/packages/edge/leaf_pool_state.h
+++ b/packages/edge/leaf_pool_state.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,7 +21,9 @@
 #include <utility>
 #include <vector>
 
+#include "edge/held_bytes.h"
 #include "edge/leaf_pool.h"
+#include "edge/socket_state.h"
 #include "gateway/admission/byte_budget.h"
 
 namespace corianderrail::edge {
@@ -34,10 +37,6 @@
   class connection;
   using connection_ptr = std::shared_ptr<connection>;
 
-  /** Bytes of all incomplete answers together. Leafs in trouble may send
-   * without end. */
-  static constexpr std::size_t kMaxIncompleteBytes = 16u << 20;
-
   /** All connections to one leaf. */
   struct leaf {
     std::string address;
@@ -49,6 +48,7 @@
     bool disconnecting = false;         ///< Connections close once idle.
     bool keep_idle = true;              ///< Set by the last request.
     bool names_attempts = false;        ///< An answer has named its attempt.
+    std::size_t in_flight = 0;  ///< Bytes of requests without an answer.
     std::vector<connection_ptr> all;
     std::vector<connection_ptr> idle;  ///< Most recently used last.
     std::deque<gateway::send_leaf_effect> pending;
@@ -70,12 +70,24 @@
   void Fail(gateway::leaf_call call, gateway::leaf_failure failure);
   bool Reserve(gateway::leaf_handle handle, gateway::leaf_call call,
                std::size_t bytes);
+  bool EndAll(held_bytes& held, gateway::message_id present,
+              const std::vector<gateway::given_up_message>& given_up);
   connection_ptr PopIdle(leaf& from, bool recent_only);
 
   boost::asio::io_context& io;
   event_sink sink;
   leaf_pool_counters counters;
-  gateway::byte_budget incomplete{kMaxIncompleteBytes};  ///< Answers by leaf.
+  connection_end_sink on_end;
+  /** Answers by leaf. Leafs in trouble may send without end. */
+  held_bytes incomplete{
+      held_kind::leaf_answer,
+      gateway::SharesOf(gateway::kDefaultMemoryLimit).leaf_answers,
+      gateway::byte_flow::sent_by_peer};
+  /** Requests by leaf; without a bound until one is set, since only its user
+   *  knows the largest request. */
+  held_bytes unread{held_kind::leaf_request,
+                    {std::numeric_limits<std::size_t>::max()},
+                    gateway::byte_flow::read_by_peer};
   std::map<gateway::leaf_handle, leaf> leafs;
   std::unordered_map<std::uint64_t, std::weak_ptr<connection>> busy;
 };
@@ -92,7 +104,8 @@
 
   void Open(const std::string& address);
   void Send(gateway::send_leaf_effect effect);
-  void GiveUp();
+  void End(held_bytes& held, const gateway::given_up_message& cause);
+  void CountUnread();
   void Close();
 
   clock::time_point IdleSince() const { return idle_since_; }
@@ -117,6 +130,8 @@
   void BecomeIdle();
   void WatchIdle();
   void FailCall(gateway::leaf_failure failure);
+  void EndCall();
+  std::size_t OnWriteStep(std::size_t written);
 
   std::shared_ptr<state> owner_;
   gateway::leaf_handle handle_;
@@ -126,6 +141,11 @@
   std::optional<parser> parser_;
   std::optional<gateway::send_leaf_effect> current_;
   std::string write_buffer_;
+  std::size_t written_ = 0;      ///< Bytes of `write_buffer_`.
+  std::uint64_t sent_ = 0;       ///< Bytes written on this connection.
+  std::uint64_t confirmed_ = 0;  ///< Those of them that the leaf received.
+  bool unread_ = false;          ///< The request may not be confirmed yet.
+  std::size_t in_flight_ = 0;    ///< Bytes of the present request.
   std::uint32_t interim_answers_ = 0;  ///< Since the request was sent.
   bool writing_ = false;
   boost::system::error_code write_error_;  ///< Of the present request.
@@ -136,4 +156,7 @@
   clock::duration idle_limit_ = kDefaultIdleLimit;
 };
 
+/** Size of a request, without the few fields that are added to it. */
+std::size_t RequestBytes(const gateway::client_request& request);
+
 }  // namespace corianderrail::edge
--- a/packages/edge/settings_change.cpp
+++ b/packages/edge/settings_change.cpp
@@ -35,6 +35,7 @@
     restart_key{"processor_share", &Same<&edge_settings::processor_share>},
     restart_key{"cores", &Same<&edge_settings::cores>},
     restart_key{"link_mbps", &Same<&edge_settings::link_mbps>},
+    restart_key{"memory_limit_mb", &Same<&edge_settings::memory_limit>},
     restart_key{"repeat_window_s", &Same<&edge_settings::repeat_window>},
     restart_key{"config_propagation_ms",
                 &Same<&edge_settings::config_propagation>},
--- a/packages/edge/table/decision_table.h
+++ b/packages/edge/table/decision_table.h
@@ -17,8 +17,8 @@
 };
 
 /** Indexed by gateway::decision. Failures and refusals may use more lines than
- *  changes of state. At 300 bytes per line, all kinds together write less than
- *  50 KB/s sustained (165 lines per second). */
+ *  changes of state. At 300 bytes per line, all kinds together write about
+ *  50 KB/s sustained (170 lines per second). */
 inline constexpr std::array<decision_row, gateway::kDecisions> kDecisionRows = {
     {
         {"request_refused", 40, 200},
@@ -34,6 +34,7 @@
         {"leaf_delisted", 10, 200},
         {"leaf_leaving", 10, 200},
         {"config_in_force", 5, 20},
+        {"connection_ended", 5, 100},
     }};
 
 }  // namespace corianderrail::edge
--- a/packages/edge/tests/edge_metrics_test.cpp
+++ b/packages/edge/tests/edge_metrics_test.cpp
@@ -31,6 +31,8 @@
   const auto stopping =
       static_cast<std::size_t>(gateway::refusal_cause::stopping);
   snapshot.core.refused[stopping] = 5;
+  snapshot.clients.answers = {90, {1, 2, 3, 4}};
+  snapshot.leafs.requests = {91, {0, 0, 8, 0}};
   const std::string text = MetricsText(snapshot);
   const std::string prefix = "corianderrail_edge_";
   for (const char* line :
@@ -40,7 +42,11 @@
         "store_calls_total{cause=\"watch\"} 2",
         "store_failures_total{cause=\"unreachable\"} 4",
         "store_failures_total{cause=\"too_large\"} 6",
-        "refused_total{cause=\"stopping\"} 5"}) {
+        "refused_total{cause=\"stopping\"} 5", "held_bytes{held=\"answer\"} 90",
+        "held_bytes{held=\"leaf_request\"} 91",
+        "connections_ended_total{cause=\"total_bytes\",held=\"answer\"} 3",
+        "connections_ended_total{cause=\"total_bytes\",held=\"leaf_request\"} "
+        "8"}) {
     INFO(line);
     CHECK(CountLine(text, prefix + line) == 1);
   }
--- a/packages/edge/tests/edge_settings_test.cpp
+++ b/packages/edge/tests/edge_settings_test.cpp
@@ -43,6 +43,18 @@
   CHECK(settings.seeds.size() == 1);
 }
 
+// Guards against bounds that ignore the memory of the host, and against a host
+// that does not start where the platform states none.
+TEST_CASE("Settings_MemoryLimit_IsOptionalAndBounded") {
+  const auto limit = [](const std::string& line) {
+    return ParseEdgeSettings(line + CompleteSettings(), "f.toml").memory_limit;
+  };
+  CHECK(limit("") == gateway::kDefaultMemoryLimit);
+  CHECK(limit("memory_limit_mb = 112\n") == gateway::memory_limit_mb{112});
+  CHECK(Faults("memory_limit_mb = 1\n" + CompleteSettings())
+            .find("memory_limit_mb") != std::string::npos);
+}
+
 // Guards against parsing that stops at the first fault, so that each start
 // shows only one.
 TEST_CASE("Settings_SeveralFaults_AreAllListedWithRemedy") {
--- a/packages/gateway/admission/memory_shares.cpp
+++ b/packages/gateway/admission/memory_shares.cpp
@@ -17,15 +17,19 @@
 
 }  // namespace
 
-memory_shares SharesOf(memory_limit_mb limit) {
+memory_shares SharesOf(memory_limit_mb limit, std::size_t largest_request) {
   const std::size_t memory = static_cast<std::size_t>(limit) * kMegabyte;
   memory_shares shares;
   // A peer may use half of a total, so that one alone cannot fill it.
   shares.answers.total = std::max(memory / 8, kLargestAnswer);
   shares.answers.sender = std::max(shares.answers.total / 2, kLargestAnswer);
   shares.answers.message = kLargestAnswer;
-  shares.client_requests = {memory / 16, memory / 32, memory / 64};
-  shares.leaf_requests = {memory / 16, memory / 32, memory / 64};
+  // While a request is written, the system holds a copy of it.
+  const std::size_t least = 2 * largest_request;
+  shares.client_requests = {std::max(memory / 16, least),
+                            std::max(memory / 32, least),
+                            std::max(memory / 64, least)};
+  shares.leaf_requests = shares.client_requests;
   shares.leaf_answers.total = memory / 10;
   return shares;
 }
--- a/packages/gateway/admission/memory_shares.h
+++ b/packages/gateway/admission/memory_shares.h
@@ -28,8 +28,10 @@
  * leafs, a sixteenth each for requests of clients and requests to leafs; 35% of
  * it together. The rest is for the program, the configuration and the requests
  * being served.
+ * @param largest_request Head and body that the limits of clients allow; each
+ *     bound of requests holds at least one such request.
  */
-memory_shares SharesOf(memory_limit_mb limit);
+memory_shares SharesOf(memory_limit_mb limit, std::size_t largest_request = 0);
 
 /** Requests to one leaf that are written and not answered. It is four requests
  *  of the largest usual size (256 KiB), as leafs have 4 to 6 slots. */
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -144,21 +144,22 @@
 
 /** Kinds of decisions that are logged. */
 enum class decision : std::uint8_t {
-  refused,          ///< This host answered in place of a leaf.
-  partial,          ///< A gathered answer has missing parts.
-  late,             ///< An answer missed the latency objective.
-  abandoned,        ///< The client disconnected before its answer.
-  repeated,         ///< A request was sent to another leaf.
-  repeat_denied,    ///< The repeat budget was exhausted.
-  leaf_suspected,   ///< A leaf was ejected or replaced.
-  leaf_restored,    ///< An ejected leaf was readmitted.
-  leaf_limited,     ///< A leaf has a queue and got a concurrency limit.
-  leaf_listed,      ///< The registry added or changed a leaf.
-  leaf_delisted,    ///< The registry removed a leaf, or it is draining.
-  leaf_leaving,     ///< A leaf stated in an answer that it will stop.
-  config_in_force,  ///< A newer configuration became active.
-};
-inline constexpr std::size_t kDecisions = 13;
+  refused,           ///< This host answered in place of a leaf.
+  partial,           ///< A gathered answer has missing parts.
+  late,              ///< An answer missed the latency objective.
+  abandoned,         ///< The client disconnected before its answer.
+  repeated,          ///< A request was sent to another leaf.
+  repeat_denied,     ///< The repeat budget was exhausted.
+  leaf_suspected,    ///< A leaf was ejected or replaced.
+  leaf_restored,     ///< An ejected leaf was readmitted.
+  leaf_limited,      ///< A leaf has a queue and got a concurrency limit.
+  leaf_listed,       ///< The registry added or changed a leaf.
+  leaf_delisted,     ///< The registry removed a leaf, or it is draining.
+  leaf_leaving,      ///< A leaf stated in an answer that it will stop.
+  config_in_force,   ///< A newer configuration became active.
+  connection_ended,  ///< A connection held too much or made no progress.
+};
+inline constexpr std::size_t kDecisions = 14;
 
 /** One value that a decision was based on. */
 struct decision_input {
