--- a/packages/edge/edge_memory.cpp
+++ b/packages/edge/edge_memory.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-using gateway::decision_input;
-
 /** Bounds of each server that has no clients: its requests are short, and its
  *  answers have some kilobytes. */
 constexpr gateway::byte_bounds kAuxiliaryBounds{1u << 20, 512u << 10,
