Explain where a request would go: corianderctl placement

Cause: an operator could not learn why a host would refuse a request or send it to a certain leaf without sending one.

Change: gateway::ExplainPlacement, a const function, reports route, admission, and for each part the leafs with their health, speed and limits and the choice.

--- a/packages/ctl/command_line.cpp
+++ b/packages/ctl/command_line.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
 constexpr std::int64_t kMaxTimeoutMs = 600'000;
 
-constexpr std::array<command, 9> kCommands = {{
+constexpr std::array<command, 10> kCommands = {{
     {"check", "PATH...", "validate documents or trees of documents", 1,
      kNoLimit, RunCheck},
     {"diff", "OLD NEW", "compare the contract sets in force of two trees", 2, 2,
@@ -39,6 +39,8 @@
      RunOrder},
     {"explain", "ID FILE...", "show the history of a request from edge logs", 2,
      kNoLimit, RunExplain},
+    {"placement", "HOST METHOD NAME PATH",
+     "explain where an edge would send a request", 4, 4, RunPlacement},
 }};
 
 struct popt_deleter {
--- a/packages/ctl/host_commands.cpp
+++ b/packages/ctl/host_commands.cpp
@@ -3,12 +3,14 @@
 #include "ctl/host_commands.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <ostream>
 #include <random>
 
 #include "contract/digest.h"
 #include "ctl/json_lines.h"
+#include "ctl/placement_text.h"
 #include "wire/http_client.h"
 #include "wire/json_value.h"
 
@@ -250,4 +252,42 @@
   }
 }
 
+exit_code RunPlacement(command_context& context) {
+  const std::string& host = context.arguments[0];
+  CheckHost(host);
+  const std::string& path = context.arguments[3];
+  if (path.empty() || path.front() != '/') {
+    FailUsage("the path '" + path + "' must start with a slash");
+  }
+  json_writer writer;
+  writer.Text("method", context.arguments[1])
+      .Text("host", context.arguments[2])
+      .Text("path", path);
+  const auto begin = std::chrono::steady_clock::now();
+  try {
+    const host_reply reply =
+        SendRequest(context, host, "POST", "/v1/placement", writer.Finish());
+    if (reply.code != kHttpOk) {
+      throw command_error(
+          exit_code::host_unreachable,
+          host + ": HTTP code " + std::to_string(reply.code) + ": " +
+              FindLine(reply.lines, "error").value_or("no explanation"));
+    }
+    if (!FindLine(reply.lines, "admitted")) {
+      FailUnreachable(host, "the reply is no explanation of a placement");
+    }
+    context.out << (context.options.json ? reply.body + "\n"
+                                         : FormatPlacement(reply.lines));
+  } catch (const wire_error& error) {
+    const auto waited = std::chrono::steady_clock::now() - begin;
+    const std::chrono::milliseconds limit(context.options.timeout_ms);
+    if (waited < limit) FailUnreachable(host, error.what());
+    throw command_error(exit_code::host_unreachable,
+                        host + ": no reply within " +
+                            std::to_string(limit.count()) +
+                            " ms; raise --timeout-ms or ask later");
+  }
+  return exit_code::ok;
+}
+
 }  // namespace corianderrail
--- a/packages/ctl/host_commands.h
+++ b/packages/ctl/host_commands.h
@@ -15,6 +15,10 @@
 /** Sends POST /v1/query and prints the answer. */
 exit_code RunQuery(command_context& context);
 
+/** Asks the metrics address of an edge host where a request would go now, and
+ *  why. */
+exit_code RunPlacement(command_context& context);
+
 /** Gets an order identifier, unless one is given, and sends the order. */
 exit_code RunOrder(command_context& context);
 
--- a/packages/ctl/tests/host_commands_test.cpp
+++ b/packages/ctl/tests/host_commands_test.cpp
@@ -1,5 +1,9 @@
 /** @file host_commands_test.cpp Tests of the commands for hosts. */
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+
 #include "ctl_fixture.h"
 #include "fake_host.h"
 #include "wire/caller_codec.h"
@@ -130,5 +134,56 @@
              "--key=5"}) == exit_code::host_unreachable);
 }
 
+// Guards against an explanation that loses its reasons in either output, and
+// against a request that the host does not read.
+TEST_CASE_METHOD(ctl_fixture, "Placement_Explained_ShowsRouteAndLeafs") {
+  const std::string reply =
+      R"({"method":"GET","host":"h","path":"/a","version":3,"admitted":true,)"
+      R"("route":{"name":"r","rank":1},"parts":[{"service":"s",)"
+      R"("choice":"chosen","leafs":[{"instance":"i-1","chosen":true}]}]})";
+  fake_host host({{"/v1/placement", 200, reply}});
+  CHECK(Run({"placement", host.Address(), "GET", "h", "/a"}) == exit_code::ok);
+  CHECK(out.str() ==
+        "method: GET\nhost: h\npath: /a\nversion: 3\nadmitted: true\n"
+        "route: name=r rank=1\npart: service=s choice=chosen\n"
+        "  leaf: instance=i-1 chosen=true\n");
+  CHECK(host.Seen()[0].body == R"({"method":"GET","host":"h","path":"/a"})");
+  CHECK(Run({"placement", host.Address(), "GET", "h", "/a", "--json"}) ==
+        exit_code::ok);
+  CHECK(out.str() == reply + "\n");
+}
+
+// Guards against errors that do not name the host and what is wrong.
+TEST_CASE_METHOD(ctl_fixture, "Placement_HostFails_NamesTheCause") {
+  const auto run = [&](const std::string& address) {
+    return Run({"placement", address, "GET", "h", "/a", "--timeout-ms=200"});
+  };
+  CHECK(run(ClosedAddress()) == exit_code::host_unreachable);
+  CHECK_THAT(err.str(), Contains("check the address"));
+  fake_host busy({{"/v1/placement", 503, R"({"error":"repeat it"})"}});
+  CHECK(run(busy.Address()) == exit_code::host_unreachable);
+  CHECK_THAT(err.str(), Contains("HTTP code 503: repeat it"));
+  fake_host other({{"/v1/placement", 200, "{}"}});
+  CHECK(run(other.Address()) == exit_code::host_unreachable);
+  CHECK_THAT(err.str(), Contains("no explanation"));
+  CHECK(Run({"placement", busy.Address(), "GET", "h", "a"}) ==
+        exit_code::usage);
+}
+
+// Guards against a command that waits without end for a host that accepts the
+// connection and does not answer.
+TEST_CASE_METHOD(ctl_fixture, "Placement_HostIsSilent_EndsAfterTheTimeout") {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor silent(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(Run({"placement",
+             "127.0.0.1:" + std::to_string(silent.local_endpoint().port()),
+             "GET", "h", "/a", "--timeout-ms=200"}) ==
+        exit_code::host_unreachable);
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(2));
+  CHECK_THAT(err.str(), Contains("no reply within 200 ms"));
+}
+
 }  // namespace
 }  // namespace corianderrail
--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -6,6 +6,7 @@
 
 #include "edge/edge_metrics.h"
 #include "edge/edge_state.h"
+#include "edge/placement_json.h"
 #include "edge/process_time.h"
 #include "gateway/http_status.h"
 #include "platform/message_codec.h"
@@ -94,7 +95,13 @@
 
 http_handler edge_process::state::MetricsHandler() {
   http_handler handler;
-  handler.on_request = [this](request_id id, http_request&&) {
+  handler.on_request = [this](request_id id, http_request&& request) {
+    if (std::string(request.target()) == kPlacementPath) {
+      http_reply reply{gateway::kStatusBadGateway, {}, {}};
+      guard.Call("placement", [&] { reply = ExplainPlacement(request); });
+      metrics_server.Reply(id, reply);
+      return;
+    }
     edge_metrics_snapshot from;
     from.core = core.Counters();
     from.answers = core.Answers();
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -65,6 +65,7 @@
   http_handler ReadyHandler();
   http_handler LookupHandler();
   http_handler MetricsHandler();
+  http_reply ExplainPlacement(const http_request& request);
   store_link_settings StoreLinkSettings();
   void StartMemoryBounds();
   void SetMemoryBounds();
@@ -125,8 +126,9 @@
   gateway::lag_detector revision_lag;
   gateway::clock_gap gap{kSweepPeriod};
   time_point started = Now();
-  bool starting = true;  ///< In the startup period.
-  bool ready = false;    ///< Result of the readiness check.
+  time_point placement_explained{};  ///< When one was explained last.
+  bool starting = true;              ///< In the startup period.
+  bool ready = false;                ///< Result of the readiness check.
   bool stopping = false;
   gateway::stop_step step = gateway::stop_step::serve;  ///< While stopping.
   gateway::stop_progress stop;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/leafs/connection_warmup.h"
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/leafs/leaf_selector.h"
+#include "gateway/placement_report.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/route_table.h"
 
@@ -62,6 +63,10 @@
   /** Client limits of the active configuration, or the defaults. */
   const client_limits& Limits() const;
 
+  /** Where a request would go now, and why. Sends and changes nothing. */
+  placement_report ExplainPlacement(const placement_request& request,
+                                    time_point now) const;
+
   const gateway_counters& Counters() const { return counters_; }
   const answer_stats& Answers() const { return answers_; }
   std::size_t OpenExchanges() const { return exchanges_.size(); }
@@ -116,13 +121,14 @@
   void Place(exchange& pending, std::size_t index, send_cause cause,
              time_point now);
   void Hedge(exchange& pending, std::size_t index, time_point now);
+  static leaf_query QueryFor(const exchange& pending, const part& piece);
   void CollectCandidates(const exchange& pending, const part& piece,
                          time_point now);
   void Send(exchange& pending, std::size_t index, std::size_t candidate,
             send_cause cause, time_point now);
   static waiting_part QueuePosition(const exchange& pending, std::size_t index);
   bool QueuePart(exchange& pending, std::size_t index, time_point now);
-  request_estimate EstimateWait(const exchange& pending, time_point now);
+  request_estimate EstimateWait(const exchange& pending, time_point now) const;
   void DispatchWaiting(service_state& service, time_point now);
   void DispatchPart(const waiting_part& position, time_point now);
   void Dequeue(exchange& pending, std::size_t index);
@@ -134,6 +140,13 @@
   void LogRepeat(const exchange& pending, const part& piece,
                  repeat_reason reason, time_point now);
 
+  // gateway_explain.cpp
+  void AddExplainedParts(exchange& pending) const;
+  refusal_cause ExplainRefusal(const exchange& pending,
+                               placement_report& report, time_point now) const;
+  placement_part ExplainPart(const exchange& pending, std::size_t index,
+                             time_point now) const;
+
   // gateway_answers.cpp
   void Advance(std::uint64_t id, time_point now);
   void WaitForConfiguration(exchange& pending, time_point now);
@@ -185,7 +198,7 @@
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
-  std::vector<queue_estimate> queue_estimates_;
+  mutable std::vector<queue_estimate> queue_estimates_;
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -53,9 +53,7 @@
          LeafHoldsIdle(service.max_connections, fleet_.hosts);
 }
 
-/** Collects the leafs that may get a part. */
-void gateway::CollectCandidates(const exchange& pending, const part& piece,
-                                time_point now) {
+leaf_query gateway::QueryFor(const exchange& pending, const part& piece) {
   leaf_query query;
   query.service = piece.service->name;
   query.matched = pending.matched;
@@ -66,7 +64,13 @@
   const bool urgent =
       piece.service->queue.HoldsOnlyLessUrgent(pending.matched->rank);
   query.reserve = urgent ? kUrgentReserve : 0;
-  selector_.Collect(query, now);
+  return query;
+}
+
+/** Collects the leafs that may get a part. */
+void gateway::CollectCandidates(const exchange& pending, const part& piece,
+                                time_point now) {
+  selector_.Collect(QueryFor(pending, piece), now);
 }
 
 void gateway::Place(exchange& pending, std::size_t index, send_cause cause,
@@ -229,7 +233,7 @@
 
 /** Expected wait of a request that arrives now. */
 request_estimate gateway::EstimateWait(const exchange& pending,
-                                       time_point now) {
+                                       time_point now) const {
   queue_estimates_.clear();
   for (std::size_t i = 0; i < pending.parts.size(); ++i) {
     queue_estimates_.push_back(pending.parts[i].service->queue.Estimate(
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -108,6 +108,15 @@
   }
 }
 
+std::vector<leaf_selector::explained_leaf> leaf_selector::Explain(
+    const leaf_query& query, time_point now) const {
+  std::vector<explained_leaf> all;
+  for (const leaf_state* leaf : directory_.LeafsOf(query.service)) {
+    all.push_back({leaf, CandidateFor(*leaf, query, now)});
+  }
+  return all;
+}
+
 leaf_choice leaf_selector::Choose(duration time_left) const {
   return ChooseLeaf(candidates_, time_left);
 }
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -42,6 +42,16 @@
   /** Replaces the candidates by those for a part. */
   void Collect(const leaf_query& query, time_point now);
 
+  /** A leaf with the candidate that Collect() would build for it. */
+  struct explained_leaf {
+    const leaf_state* leaf = nullptr;  ///< Valid until the next change.
+    leaf_candidate candidate;          ///< Its health, speed and limits.
+  };
+
+  /** The same candidates without replacing those of Collect(). */
+  std::vector<explained_leaf> Explain(const leaf_query& query,
+                                      time_point now) const;
+
   /** Selects one of the candidates. */
   leaf_choice Choose(duration time_left) const;
 
