--- a/packages/edge/http_session.cpp
+++ b/packages/edge/http_session.cpp
@@ -282,7 +282,7 @@
     Close();
     return;
   }
-  CountAnswer();
+  if (written_ > kSmallAnswerBytes) CountAnswer();
   if (!socket_.is_open()) return;
   if (close) {
     closing_ = true;
--- a/packages/edge/leaf_pool.cpp
+++ b/packages/edge/leaf_pool.cpp
@@ -37,12 +37,6 @@
  *  limit. */
 constexpr std::chrono::milliseconds kFullBackoff{300};
 
-/** Whether a request to a leaf may be written now. One alone always may. */
-bool HasRoom(std::size_t in_flight, const gateway::send_leaf_effect& next) {
-  return in_flight == 0 || in_flight + RequestBytes(*next.request) <=
-                               gateway::kMaxLeafBytesInFlight;
-}
-
 }  // namespace
 
 leaf_pool::state::leaf& leaf_pool::state::Leaf(leaf_handle handle,
@@ -99,6 +93,13 @@
   return best;
 }
 
+/** Whether a request to a leaf may be written now. One alone always may. */
+bool leaf_pool::state::HasRoom(const leaf& to,
+                               const gateway::send_leaf_effect& next) const {
+  return to.in_flight == 0 ||
+         to.in_flight + RequestBytes(*next.request) <= max_in_flight;
+}
+
 /** Fails the pending requests of a leaf that takes no more of them. */
 void leaf_pool::state::Withdraw(leaf& from) {
   if (Now() < from.send_before) return;
@@ -116,7 +117,7 @@
   leaf& to = found->second;
   Withdraw(to);
   while (!to.pending.empty()) {
-    if (!HasRoom(to.in_flight, to.pending.front())) return;
+    if (!HasRoom(to, to.pending.front())) return;
     const connection_ptr idle = PopIdle(to, !to.pending.front().idempotent);
     if (!idle) break;
     gateway::send_leaf_effect next = std::move(to.pending.front());
@@ -228,7 +229,7 @@
   to.max_connections = std::max<std::uint32_t>(effect.connections, 1);
   to.keep_idle = effect.keep_idle;
   to.send_before = effect.send_before;
-  if (!HasRoom(to.in_flight, effect)) ++state_->counters.delayed;
+  if (!state_->HasRoom(to, effect)) ++state_->counters.delayed;
   to.pending.push_back(std::move(effect));
   state_->SendPending(handle);
 }
@@ -302,6 +303,7 @@
 void leaf_pool::SetBounds(const gateway::memory_shares& shares) {
   state_->unread.SetBounds(shares.leaf_requests);
   state_->incomplete.SetBounds(shares.leaf_answers);
+  state_->max_in_flight = shares.leaf_in_flight;
 }
 
 void leaf_pool::OnEnd(connection_end_sink sink) {
--- a/packages/edge/leaf_pool_state.h
+++ b/packages/edge/leaf_pool_state.h
@@ -60,6 +60,7 @@
   leaf& Leaf(gateway::leaf_handle handle, const std::string& address);
   void SendPending(gateway::leaf_handle handle);
   void Withdraw(leaf& from);
+  bool HasRoom(const leaf& to, const gateway::send_leaf_effect& next) const;
   void Open(gateway::leaf_handle handle, leaf& to);
   void OnOpened(gateway::leaf_handle handle, const connection_ptr& one,
                 open_outcome outcome);
@@ -88,6 +89,7 @@
   held_bytes unread{held_kind::leaf_request,
                     {std::numeric_limits<std::size_t>::max()},
                     gateway::byte_flow::read_by_peer};
+  std::size_t max_in_flight = gateway::kMinLeafBytesInFlight;  ///< A leaf.
   std::map<gateway::leaf_handle, leaf> leafs;
   std::unordered_map<std::uint64_t, std::weak_ptr<connection>> busy;
 };
--- a/packages/edge/tests/edge_metrics_test.cpp
+++ b/packages/edge/tests/edge_metrics_test.cpp
@@ -35,18 +35,18 @@
   snapshot.leafs.requests = {91, {0, 0, 8, 0}};
   const std::string text = MetricsText(snapshot);
   const std::string prefix = "corianderrail_edge_";
-  for (const char* line :
-       {"leaf_sends_total{cause=\"hedge\",distance=\"other\"} 7",
-        "store_calls_total{cause=\"listing\"} 3",
-        "store_calls_total{cause=\"catch_up\"} 1",
-        "store_calls_total{cause=\"watch\"} 2",
-        "store_failures_total{cause=\"unreachable\"} 4",
-        "store_failures_total{cause=\"too_large\"} 6",
-        "refused_total{cause=\"stopping\"} 5", "held_bytes{held=\"answer\"} 90",
-        "held_bytes{held=\"leaf_request\"} 91",
-        "connections_ended_total{cause=\"total_bytes\",held=\"answer\"} 3",
-        "connections_ended_total{cause=\"total_bytes\",held=\"leaf_request\"} "
-        "8"}) {
+  for (
+      const char* line :
+      {"leaf_sends_total{cause=\"hedge\",distance=\"other\"} 7",
+       "store_calls_total{cause=\"listing\"} 3",
+       "store_calls_total{cause=\"catch_up\"} 1",
+       "store_calls_total{cause=\"watch\"} 2",
+       "store_failures_total{cause=\"unreachable\"} 4",
+       "store_failures_total{cause=\"too_large\"} 6",
+       "refused_total{cause=\"stopping\"} 5", "held_bytes{held=\"answer\"} 90",
+       "held_bytes{held=\"leaf_request\"} 91",
+       "connections_ended_total{cause=\"total_bytes\",held=\"answer\"} 3",
+       R"(connections_ended_total{cause="total_bytes",held="leaf_request"} 8)"}) {
     INFO(line);
     CHECK(CountLine(text, prefix + line) == 1);
   }
--- a/packages/edge/tests/slow_client_test.cpp
+++ b/packages/edge/tests/slow_client_test.cpp
@@ -1,6 +1,7 @@
 /** @file slow_client_test.cpp Clients that read and send slowly, beside sound
  *  ones. */
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -158,8 +159,8 @@
                  "Server_OneAddressHoldsMuch_OnlyItsConnectionsEnd") {
   const auto elsewhere = AskWithoutReading(3);
   Pass(milliseconds(600));
-  std::vector<std::shared_ptr<tcp::socket>> slow;
-  for (int i = 0; i < 5; ++i) slow.push_back(AskWithoutReading(2));
+  std::array<std::shared_ptr<tcp::socket>, 5> slow;
+  for (auto& one : slow) one = AskWithoutReading(2);
   REQUIRE_FALSE(ends_.empty());
   for (const connection_end& end : ends_) {
     CHECK(end.peer.rfind("127.0.0.2:", 0) == 0);
--- a/packages/edge/tests/slow_leaf_test.cpp
+++ b/packages/edge/tests/slow_leaf_test.cpp
@@ -1,5 +1,6 @@
 /** @file slow_leaf_test.cpp Leafs that do not read, beside sound ones. */
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -182,6 +183,7 @@
   gateway::memory_shares shares;
   shares.leaf_requests = {6 * kLargeBody, 4 * kLargeBody, 3 * kLargeBody};
   shares.leaf_answers.total = 1u << 20;
+  shares.leaf_in_flight = 3 * kLargeBody;
   pool_.SetBounds(shares);
   Send(slow_, 1, kLargeBody);
   Pass(milliseconds(800));
@@ -209,8 +211,8 @@
 // against a wait that never ends.
 TEST_CASE_METHOD(slow_leaf_fixture, "Pool_ManyBytesInFlight_FurtherOnesWait") {
   sound_.answers = false;
-  std::vector<std::uint64_t> calls;
-  for (int i = 0; i < 4; ++i) calls.push_back(Send(sound_, 1, kLargeBody));
+  std::array<std::uint64_t, 4> calls{};
+  for (std::uint64_t& call : calls) call = Send(sound_, 1, kLargeBody);
   Run(milliseconds(200));
   CHECK(sound_.requests == 2);
   CHECK(sound_.connections == 2);
@@ -226,7 +228,7 @@
 
 // Guards against a request above the bound that would never be sent.
 TEST_CASE_METHOD(slow_leaf_fixture, "Pool_OneRequestAboveTheBound_IsSent") {
-  CHECK(IsAnswered(Send(sound_, 1, 2 * gateway::kMaxLeafBytesInFlight)));
+  CHECK(IsAnswered(Send(sound_, 1, 2 * gateway::kMinLeafBytesInFlight)));
 }
 
 // Guards against counting requests that were read.
--- a/packages/gateway/admission/memory_shares.cpp
+++ b/packages/gateway/admission/memory_shares.cpp
@@ -15,6 +15,10 @@
  *  gathered answers, which may be somewhat larger. */
 constexpr std::size_t kLargestAnswer = 10 * kMegabyte;
 
+/** Slots of the smallest leafs. Fewer largest requests in flight would leave
+ *  slots empty. */
+constexpr std::size_t kSlotsOfALeaf = 4;
+
 }  // namespace
 
 memory_shares SharesOf(memory_limit_mb limit, std::size_t largest_request) {
@@ -31,6 +35,8 @@
                             std::max(memory / 64, least)};
   shares.leaf_requests = shares.client_requests;
   shares.leaf_answers.total = memory / 10;
+  shares.leaf_in_flight =
+      std::max(kMinLeafBytesInFlight, kSlotsOfALeaf * largest_request);
   return shares;
 }
 
--- a/packages/gateway/admission/memory_shares.h
+++ b/packages/gateway/admission/memory_shares.h
@@ -17,10 +17,11 @@
 
 /** Bounds of what this host holds for its peers. */
 struct memory_shares {
-  byte_bounds answers;          ///< That clients have not read.
-  byte_bounds client_requests;  ///< Incomplete ones that clients send.
-  byte_bounds leaf_requests;    ///< That leafs have not read.
-  byte_bounds leaf_answers;     ///< Incomplete ones that leafs send.
+  byte_bounds answers;             ///< That clients have not read.
+  byte_bounds client_requests;     ///< Incomplete ones that clients send.
+  byte_bounds leaf_requests;       ///< That leafs have not read.
+  byte_bounds leaf_answers;        ///< Incomplete ones that leafs send.
+  std::size_t leaf_in_flight = 0;  ///< Written to one leaf and not answered.
 };
 
 /**
@@ -33,8 +34,8 @@
  */
 memory_shares SharesOf(memory_limit_mb limit, std::size_t largest_request = 0);
 
-/** Requests to one leaf that are written and not answered. It is four requests
- *  of the largest usual size (256 KiB), as leafs have 4 to 6 slots. */
-inline constexpr std::size_t kMaxLeafBytesInFlight = 1u << 20;
+/** Least bound of requests to one leaf that are written and not answered: four
+ *  requests of the largest usual size (256 KiB), as leafs have 4 to 6 slots. */
+inline constexpr std::size_t kMinLeafBytesInFlight = 1u << 20;
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/gateway_explain.cpp
+++ b/packages/gateway/gateway_explain.cpp
@@ -130,6 +130,7 @@
   const part& piece = pending.parts[index];
   const auto leafs = selector_.Explain(QueryFor(pending, piece), now);
   std::vector<leaf_candidate> candidates;
+  candidates.reserve(leafs.size());
   for (const auto& [leaf, candidate] : leafs) candidates.push_back(candidate);
   const leaf_choice choice = ChooseLeaf(candidates, pending.objective_at - now);
   placement_part result;
--- a/packages/gateway/tests/byte_budget_test.cpp
+++ b/packages/gateway/tests/byte_budget_test.cpp
@@ -194,9 +194,10 @@
     CHECK(shares.answers.sender <= shares.answers.total);
     CHECK(shares.leaf_answers.total > 8u << 20);
     CHECK(shares.client_requests.message >= 1u << 20);
-    CHECK(
-        SharesOf(memory_limit_mb{megabytes}, 8u << 20).leaf_requests.message >=
-        16u << 20);
+    CHECK(shares.leaf_in_flight == kMinLeafBytesInFlight);
+    const memory_shares large = SharesOf(memory_limit_mb{megabytes}, 8u << 20);
+    CHECK(large.leaf_requests.message >= 16u << 20);
+    CHECK(large.leaf_in_flight >= 32u << 20);
   }
 }
 
