--- a/packages/edge/tests/slow_client_test.cpp
+++ b/packages/edge/tests/slow_client_test.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "edge/http_server.h"
+#include "edge/stream_end.h"
 
 namespace corianderrail::edge {
 
@@ -274,6 +275,8 @@
   CHECK(std::string(piece.data(), size).ends_with("xx"));
   socket->read_some(asio::buffer(piece), error);
   CHECK(error == asio::error::eof);
+  // A reset after the end of the stream is only a pending error.
+  CHECK_FALSE(SignsOf(*socket, {}, {}).pending);
   Pass(milliseconds(1300));
   CHECK(server_->Counters().open == 0);
 }
