--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -265,6 +265,7 @@
   }
   Reduce(gateway::config_event{std::move(config)});
   client_server.SetLimits(core.Limits());
+  SetMemoryBounds();
 }
 
 /** The key alone says which zone is evacuated, whatever the value is. */
@@ -462,6 +463,7 @@
   const decision_input inputs[] = {{"zone", self.settings.zone},
                                    {"address", self.settings.client_address}};
   self.log.WriteEvent("started", inputs);
+  self.StartMemoryBounds();
   self.WaitForSignal();
   self.ReceiveFigures();
   self.peers.Start([&self] { self.OnMembersChanged(); });
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/leafs/leaf_selector.h"
 #include "gateway/leafs/performance_report.h"
+#include "gateway/placement_report.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/route_table.h"
 
@@ -72,6 +73,9 @@
 
   /** Home regions of the routes with a host name; empty without any. */
   const region_set& HomeRegions(std::string_view host) const;
+  /** Where a request would go now, and why. Sends and changes nothing. */
+  placement_report ExplainPlacement(const placement_request& request,
+                                    time_point now) const;
 
   const gateway_counters& Counters() const { return counters_; }
   const answer_stats& Answers() const { return answers_; }
@@ -135,6 +139,7 @@
   void Place(exchange& pending, std::size_t index, send_cause cause,
              time_point now);
   void Hedge(exchange& pending, std::size_t index, time_point now);
+  static leaf_query QueryFor(const exchange& pending, const part& piece);
   void CollectCandidates(const exchange& pending, const part& piece,
                          time_point now);
   void Send(exchange& pending, std::size_t index, std::size_t candidate,
@@ -142,8 +147,8 @@
   waiting_part QueuePosition(const exchange& pending, std::size_t index) const;
   bool QueuePart(exchange& pending, std::size_t index, time_point now);
   queue_estimate EstimatePart(const exchange& pending, std::size_t index,
-                              time_point now);
-  request_estimate EstimateWait(const exchange& pending, time_point now);
+                              time_point now) const;
+  request_estimate EstimateWait(const exchange& pending, time_point now) const;
   void DispatchWaiting(service_state& service, time_point now);
   void DispatchPart(const waiting_part& position, time_point now);
   void Dequeue(exchange& pending, std::size_t index);
@@ -162,6 +167,12 @@
   void WithdrawForbidden(const exchange& pending, leaf_call call);
   void RecheckWaiting(std::vector<std::uint64_t> exchanges, time_point now);
   void DispatchAllWaiting(time_point now);
+  // gateway_explain.cpp
+  void AddExplainedParts(exchange& pending) const;
+  refusal_cause ExplainRefusal(const exchange& pending,
+                               placement_report& report, time_point now) const;
+  placement_part ExplainPart(const exchange& pending, std::size_t index,
+                             time_point now) const;
 
   // gateway_answers.cpp
   void Advance(std::uint64_t id, time_point now);
@@ -171,6 +182,7 @@
   void Begin(exchange& pending, time_point now);
   bool StartParts(exchange& pending, time_point now);
   bool Admit(exchange& pending, time_point now);
+  bool YieldsToRank(const exchange& pending, time_point now) const;
   bool EnoughLeafs(const exchange& pending, time_point now) const;
   void FinishPlain(exchange& pending, time_point now);
   void FinishGather(exchange& pending, time_point now);
@@ -219,7 +231,7 @@
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
-  std::vector<queue_estimate> queue_estimates_;
+  mutable std::vector<queue_estimate> queue_estimates_;
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -254,12 +254,7 @@
   const duration usual = pending.stats->TailLatency(
       settings_.here.zone, settings_.here, pending.matched->objective, now);
   const bool in_time = IsWorthQueueing(estimate, usual, useful_until - now);
-  const bool yields = std::any_of(
-      pending.parts.begin(), pending.parts.end(), [&](const part& piece) {
-        return !piece.service->queue.HasSpareRoom(now) &&
-               piece.service->shares.Yields(pending.matched->rank, now);
-      });
-  const bool admitted = in_time && !yields;
+  const bool admitted = in_time && !YieldsToRank(pending, now);
   for (const part& piece : pending.parts) {
     piece.service->shares.Add(pending.matched->rank, admitted, now);
   }
@@ -272,6 +267,16 @@
   return false;
 }
 
+/** True when a more urgent rank was served less often by a service that has no
+ *  spare room. */
+bool gateway::YieldsToRank(const exchange& pending, time_point now) const {
+  return std::any_of(
+      pending.parts.begin(), pending.parts.end(), [&](const part& piece) {
+        return !piece.service->queue.HasSpareRoom(now) &&
+               piece.service->shares.Yields(pending.matched->rank, now);
+      });
+}
+
 void gateway::Schedule(exchange& pending, time_point at) {
   if (at == kNever) return;
   timers_.push({at, false, static_cast<std::uint64_t>(pending.id)});
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -53,9 +53,7 @@
          LeafHoldsIdle(service.max_connections, fleet_.hosts);
 }
 
-/** Collects the leafs that may get a part. */
-void gateway::CollectCandidates(const exchange& pending, const part& piece,
-                                time_point now) {
+leaf_query gateway::QueryFor(const exchange& pending, const part& piece) {
   leaf_query query;
   query.service = piece.service->name;
   query.matched = pending.matched;
@@ -67,7 +65,13 @@
   const bool urgent =
       piece.service->queue.HoldsOnlyLessUrgent(pending.matched->rank);
   query.reserve = urgent ? kUrgentReserve : 0;
-  selector_.Collect(query, now);
+  return query;
+}
+
+/** Collects the leafs that may get a part. */
+void gateway::CollectCandidates(const exchange& pending, const part& piece,
+                                time_point now) {
+  selector_.Collect(QueryFor(pending, piece), now);
   counters_.permit_skips += selector_.PermitSkips();
 }
 
@@ -242,26 +246,22 @@
 /** Estimate of one part, from the leafs that may get it and the waiting parts.
  */
 queue_estimate gateway::EstimatePart(const exchange& pending, std::size_t index,
-                                     time_point now) {
+                                     time_point now) const {
   const part& piece = pending.parts[index];
   queue_estimate estimate =
       piece.service->queue.Estimate(QueuePosition(pending, index), now);
   estimate.part = index;
-  CollectCandidates(pending, piece, now);
-  const leaf_choice choice = selector_.Choose(pending.objective_at - now);
-  if (choice.outcome == choice_outcome::chosen) {
-    estimate.wait = {};
-    estimate.answer = PredictLatency(selector_.Candidates()[choice.index]);
-  } else {
-    estimate.answer = selector_.BestLatency();
-  }
+  const leaf_estimate leaf = selector_.Estimate(
+      QueryFor(pending, piece), pending.objective_at - now, now);
+  if (leaf.has_capacity) estimate.wait = {};
+  estimate.answer = leaf.latency;
   return estimate;
 }
 
 /** Estimate of a request that arrives now. Nothing is estimated while no part
  *  waits or waited recently: leafs have room then. */
 request_estimate gateway::EstimateWait(const exchange& pending,
-                                       time_point now) {
+                                       time_point now) const {
   const bool contended = std::any_of(
       pending.parts.begin(), pending.parts.end(), [&](const part& piece) {
         return !piece.service->queue.HasSpareRoom(now);
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -19,6 +19,26 @@
  *  fast leaf would count as a queue, and slow leafs would be preferred. */
 constexpr std::uint32_t kMinOwnSlots = 2;
 
+/** True for a candidate that is skipped only because this host has no permit
+ *  for it now. */
+bool LacksPermit(const leaf_candidate& candidate, time_point now) {
+  if (!candidate.permits || candidate.permit_at <= now) return false;
+  return *candidate.permits == 0 ||
+         candidate.eligibility != leaf_eligibility::unusable;
+}
+
+/** Predicted latency of the best candidate but one; 0 without any. */
+duration BestLatency(std::span<const leaf_candidate> candidates,
+                     std::size_t excluded) {
+  duration best = duration::max();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (i == excluded) continue;
+    if (candidates[i].eligibility > leaf_eligibility::stalled) continue;
+    best = std::min(best, PredictLatency(candidates[i]));
+  }
+  return best == duration::max() ? duration{} : best;
+}
+
 }  // namespace
 
 leaf_selector::leaf_selector(location here, leaf_directory& directory,
@@ -105,7 +125,7 @@
 
 leaf_candidate leaf_selector::CandidateFor(const leaf_state& leaf,
                                            const leaf_query& query,
-                                           time_point now) {
+                                           time_point now) const {
   leaf_candidate candidate;
   candidate.expected = query.stats->ExpectedLatency(
       leaf.record.zone, here_, query.matched->objective, now);
@@ -140,16 +160,13 @@
 
 /** A cold leaf has capacity only while this host has a permit for it. */
 void leaf_selector::LimitCold(const leaf_state& leaf, leaf_candidate& candidate,
-                              time_point now) {
+                              time_point now) const {
   candidate.permits = cold_.Held(leaf, now);
   if (!candidate.permits) return;
   candidate.permit_at =
       leaf.permits.FreeAt(*candidate.permits, candidate.open, now);
   if (candidate.permit_at <= now) return;
   candidate.limit = std::min(candidate.limit, candidate.open);
-  const bool skipped = *candidate.permits == 0 ||
-                       candidate.eligibility != leaf_eligibility::unusable;
-  if (skipped) ++permit_skips_;
 }
 
 // After the limit, so that other hosts can make a leaf look slow, but not full.
@@ -172,28 +189,43 @@
   permit_skips_ = 0;
   leafs_.clear();
   for (leaf_state* leaf : directory_.LeafsOf(query.service)) {
-    candidates_.push_back(CandidateFor(*leaf, query, now));
+    const leaf_candidate candidate = CandidateFor(*leaf, query, now);
+    if (LacksPermit(candidate, now)) ++permit_skips_;
+    candidates_.push_back(candidate);
     ++exclusions_[static_cast<std::size_t>(ExclusionOf(*leaf, *query.homes))];
     leafs_.push_back(leaf);
   }
 }
 
+std::vector<leaf_selector::explained_leaf> leaf_selector::Explain(
+    const leaf_query& query, time_point now) const {
+  std::vector<explained_leaf> all;
+  for (const leaf_state* leaf : directory_.LeafsOf(query.service)) {
+    all.push_back({leaf, CandidateFor(*leaf, query, now)});
+  }
+  return all;
+}
+
 leaf_choice leaf_selector::Choose(duration time_left) const {
   return ChooseLeaf(candidates_, time_left);
 }
 
-duration leaf_selector::BestLatency() const {
-  return NextBestLatency(candidates_.size());
+leaf_estimate leaf_selector::Estimate(const leaf_query& query,
+                                      duration time_left,
+                                      time_point now) const {
+  std::vector<leaf_candidate> candidates;
+  for (const leaf_state* leaf : directory_.LeafsOf(query.service)) {
+    candidates.push_back(CandidateFor(*leaf, query, now));
+  }
+  const leaf_choice choice = ChooseLeaf(candidates, time_left);
+  if (choice.outcome == choice_outcome::chosen) {
+    return {true, PredictLatency(candidates[choice.index])};
+  }
+  return {false, BestLatency(candidates, candidates.size())};
 }
 
 duration leaf_selector::NextBestLatency(std::size_t chosen) const {
-  duration best = duration::max();
-  for (std::size_t i = 0; i < candidates_.size(); ++i) {
-    if (i == chosen) continue;
-    if (candidates_[i].eligibility > leaf_eligibility::stalled) continue;
-    best = std::min(best, PredictLatency(candidates_[i]));
-  }
-  return best == duration::max() ? duration{} : best;
+  return BestLatency(candidates_, chosen);
 }
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -45,6 +45,13 @@
 /** Number of excluded candidates by leaf_exclusion. */
 using exclusion_counts = std::array<std::uint64_t, kLeafExclusions>;
 
+/** Answer of a part that is placed now. */
+struct leaf_estimate {
+  bool has_capacity = false;  ///< A leaf may get it at once.
+  duration latency{};  ///< Predicted latency of its leaf, or of the best one
+                       ///< that has no capacity; 0 without any.
+};
+
 /**
  * Builds the candidates for each way to a leaf: first choice, repeat, hedge and
  * parts that waited. Whatever forbids or limits a leaf takes effect here.
@@ -64,6 +71,16 @@
   /** Replaces the candidates by those for a part. */
   void Collect(const leaf_query& query, time_point now);
 
+  /** A leaf with the candidate that Collect() would build for it. */
+  struct explained_leaf {
+    const leaf_state* leaf = nullptr;  ///< Valid until the next change.
+    leaf_candidate candidate;          ///< Its health, speed and limits.
+  };
+
+  /** The same candidates without replacing those of Collect(). */
+  std::vector<explained_leaf> Explain(const leaf_query& query,
+                                      time_point now) const;
+
   /** Selects one of the candidates. */
   leaf_choice Choose(duration time_left) const;
 
@@ -75,8 +92,9 @@
   /** Predicted latency of the best other candidate; 0 without one. */
   duration NextBestLatency(std::size_t chosen) const;
 
-  /** Predicted latency of the best candidate; 0 without one. */
-  duration BestLatency() const;
+  /** When a part would be answered that is placed now; changes nothing. */
+  leaf_estimate Estimate(const leaf_query& query, duration time_left,
+                         time_point now) const;
 
   /** True when a leaf of a service may get requests with these homes. */
   bool HasUsable(std::string_view service, const residency& homes,
@@ -99,13 +117,13 @@
 
  private:
   leaf_candidate CandidateFor(const leaf_state& leaf, const leaf_query& query,
-                              time_point now);
+                              time_point now) const;
   leaf_exclusion ExclusionOf(const leaf_state& leaf,
                              const residency& homes) const;
   leaf_eligibility Eligibility(const leaf_state& leaf, const residency& homes,
                                time_point now, duration work) const;
   void LimitCold(const leaf_state& leaf, leaf_candidate& candidate,
-                 time_point now);
+                 time_point now) const;
 
   std::uint32_t Concurrency(const leaf_state& leaf, time_point now) const;
   void ApplyShared(const leaf_state& leaf, leaf_candidate& candidate,
