--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -29,8 +29,9 @@
 struct gateway_settings {
   location here;            ///< Zone and region of this host.
   repeat_settings repeats;  ///< Ratio, window, and slack of the whole fleet.
-  bool returned_first = false;    ///< Parts of clients that return after a
-                                  ///< refusal go before others of their rank.
+  /** Parts of clients that return after a refusal go before others of their
+   *  rank. Off, because it lowers the goodput; see docs/design/admission.md. */
+  bool returned_first = false;
   leaf_directory_settings leafs;  ///< Timing of leaving leafs.
   duration client_network_time =
       std::chrono::milliseconds(14);  ///< Part of the objective for the network
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -15,6 +15,11 @@
  *  connections of a leaf. */
 constexpr std::uint32_t kStartupDivisor = 4;
 
+/** Latency relative to the expected one from which a leaf counts as slow. With
+ *  a floor for leafs below it, a pause of an equal leaf has no lasting effect.
+ */
+constexpr double kSlowLeaf = 1.4;
+
 }  // namespace
 
 leaf_selector::leaf_selector(location here, leaf_directory& directory)
@@ -36,10 +41,11 @@
   if (now < started_ + kStartupPeriod) {
     share = std::max(share / kStartupDivisor, std::min(share, min_limit));
   }
-  // A host of another region waits until its window allows a request: all of
-  // them together would otherwise fill the queue of a slow leaf.
-  const double window =
-      std::max<double>(leaf.monitor.Window().Limit(now), near ? min_limit : 0);
+  // A host of another region waits until its window allows a request to a slow
+  // leaf: all of them together would otherwise fill its queue.
+  const bool keeps_floor = near || leaf.monitor.Slowness(now) < kSlowLeaf;
+  const double window = std::max<double>(leaf.monitor.Window().Limit(now),
+                                         keeps_floor ? min_limit : 0);
   if (window < share) share = static_cast<std::uint32_t>(window);
   // Open requests at a stalled leaf are late already; more would only queue.
   if (leaf.monitor.Stalled(now)) {
--- a/packages/gateway/tests/admission_test.cpp
+++ b/packages/gateway/tests/admission_test.cpp
@@ -226,7 +226,7 @@
 TEST_CASE("Admission_LalibelaSlowLeafs_KeepsGoodput") {
   for (const auto& leafs : {kSomeSlow, kManySlow, kSlowShard}) {
     for (const double load : {1.25, 4.0}) {
-      CHECK(Play(Lalibela(), leafs, load).ShareOfReference() >= 0.79);
+      CHECK(Play(Lalibela(), leafs, load).ShareOfReference() >= 0.8);
     }
   }
 }
@@ -235,7 +235,7 @@
 TEST_CASE("Admission_ValverdeSlowLeafs_KeepsGoodput") {
   for (const auto& leafs : {kSomeSlow, kManySlow, kSlowShard}) {
     for (const double load : {1.25, 2.0}) {
-      CHECK(Play(Valverde(), leafs, load).ShareOfReference() >= 0.77);
+      CHECK(Play(Valverde(), leafs, load).ShareOfReference() >= 0.79);
     }
   }
 }
