--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -70,7 +70,8 @@
   }
   // A host of another region waits until its window allows a request to a slow
   // leaf: all of them together would otherwise fill its queue.
-  const bool keeps_floor = near || leaf.monitor.Slowness(now) < kSlowLeaf;
+  const bool keeps_floor =
+      near || leaf.monitor.Performance().Slowness(now) < kSlowLeaf;
   const double window = std::max<double>(leaf.monitor.Window().Limit(now),
                                          keeps_floor ? min_limit : 0);
   if (window < share) share = static_cast<std::uint32_t>(window);
