--- a/packages/edge/edge_handlers.cpp
+++ b/packages/edge/edge_handlers.cpp
@@ -6,6 +6,7 @@
 
 #include "edge/edge_metrics.h"
 #include "edge/edge_state.h"
+#include "edge/placement_json.h"
 #include "edge/process_time.h"
 #include "gateway/http_status.h"
 #include "platform/message_codec.h"
@@ -32,6 +33,7 @@
     Reduce(gateway::client_disconnected_event{
         gateway::exchange_id{static_cast<std::uint64_t>(id)}});
   };
+  handler.on_end = [this](const connection_end& end) { OnConnectionEnd(end); };
   return handler;
 }
 
@@ -94,13 +96,21 @@
 
 http_handler edge_process::state::MetricsHandler() {
   http_handler handler;
-  handler.on_request = [this](request_id id, http_request&&) {
+  handler.on_request = [this](request_id id, http_request&& request) {
+    if (std::string(request.target()) == kPlacementPath) {
+      http_reply reply{gateway::kStatusBadGateway, {}, {}};
+      guard.Call("placement", [&] { reply = ExplainPlacement(request); });
+      metrics_server.Reply(id, reply);
+      return;
+    }
     edge_metrics_snapshot from;
     from.core = core.Counters();
     from.answers = core.Answers();
     from.open_exchanges = core.OpenExchanges();
     from.open_calls = core.OpenCalls();
     from.known_leafs = core.Leafs();
+    from.cold_leafs = core.ColdLeafs();
+    from.differing_leafs = core.DifferingLeafs();
     from.version = static_cast<std::uint64_t>(core.Version());
     from.evacuated_zones = core.Evacuations().Size();
     from.exclusions = core.Exclusions();
--- a/packages/edge/edge_metrics.cpp
+++ b/packages/edge/edge_metrics.cpp
@@ -54,12 +54,48 @@
      [](const snapshot& s) { return s.core.leaf_failures; }},
     {"queued_total", "counter", "Requests that waited for capacity at a leaf.",
      [](const snapshot& s) { return s.core.queued; }},
+    {"refused_late_total", "counter",
+     "Requests refused on arrival that could not be answered in time.",
+     [](const snapshot& s) { return s.core.refused_late; }},
+    {"refused_for_rank_total", "counter",
+     "Requests refused on arrival for a more urgent rank.",
+     [](const snapshot& s) { return s.core.refused_for_rank; }},
+    {"returned_total", "counter", "Requests of clients that return.",
+     [](const snapshot& s) { return s.core.returned; }},
+    {"returned_refused_total", "counter",
+     "Requests of returning clients that were refused on arrival.",
+     [](const snapshot& s) { return s.core.returned_refused; }},
+    {"late_parts_held_total", "counter",
+     "Late parts that were kept from leafs with room.",
+     [](const snapshot& s) { return s.core.late_parts_held; }},
     {"open_requests", "gauge", "Client requests that are not answered yet.",
      [](const snapshot& s) { return s.open_exchanges; }},
     {"open_leaf_requests", "gauge", "Requests to leafs in flight.",
      [](const snapshot& s) { return s.open_calls; }},
     {"leafs", "gauge", "Leafs in the registry.",
      [](const snapshot& s) { return s.known_leafs; }},
+    {"cold_leafs", "gauge", "Leafs that are cold and get a limited rate.",
+     [](const snapshot& s) { return s.cold_leafs; }},
+    {"cold_leaf_requests_total", "counter", "Requests sent to cold leafs.",
+     [](const snapshot& s) { return s.core.cold_requests; }},
+    {"cold_permit_skips_total", "counter",
+     "Choices that skipped a cold leaf for lack of a permit.",
+     [](const snapshot& s) { return s.core.permit_skips; }},
+    {"differing_leafs", "gauge",
+     "Leafs that this host learned to be slower or faster than usual.",
+     [](const snapshot& s) { return s.differing_leafs; }},
+    {"leaf_figures_sent_total", "counter",
+     "Figures about leafs for other hosts.",
+     [](const snapshot& s) { return s.core.figures_sent; }},
+    {"leaf_figures_received_total", "counter",
+     "Figures about leafs from other hosts.",
+     [](const snapshot& s) { return s.core.figures_received; }},
+    {"leaf_figure_bytes_sent_total", "counter",
+     "Bytes of datagrams with figures about leafs.",
+     [](const snapshot& s) { return s.peers.figure_bytes_sent; }},
+    {"shared_choices_total", "counter",
+     "Requests to leafs whose prediction used figures of other hosts.",
+     [](const snapshot& s) { return s.core.shared_choices; }},
     {"config_version", "gauge", "Version of the configuration in force.",
      [](const snapshot& s) { return s.version; }},
     {"evacuated_zones", "gauge", "Zones whose leafs get no requests.",
@@ -91,6 +127,9 @@
     {"leaf_malformed_total", "counter",
      "Leaf answers that violate HTTP or name another attempt.",
      [](const snapshot& s) { return s.leafs.malformed; }},
+    {"leaf_requests_delayed_total", "counter",
+     "Requests that waited for the bytes in flight to their leaf.",
+     [](const snapshot& s) { return s.leafs.delayed; }},
     {"members", "gauge", "Hosts known, this one included.",
      [](const snapshot& s) { return s.members; }},
     {"peer_bytes_sent_total", "counter",
@@ -183,6 +222,32 @@
   }
 }
 
+/** What is held for slow clients and leafs, and the connections that ended for
+ *  it. */
+void AppendHeld(std::string& text, const snapshot& from) {
+  const std::array<held_counters, kHeldKinds> all = {
+      from.clients.answers, from.clients.requests, from.leafs.requests,
+      from.leafs.answers};
+  constexpr std::string_view kBytes = "held_bytes";
+  AppendMetricHeader(text, kBytes, "gauge",
+                     "Bytes held for clients and leafs, by kind.");
+  for (std::size_t i = 0; i < kHeldKinds; ++i) {
+    const auto kind = HeldKindName(static_cast<held_kind>(i));
+    text.append(kPrefix).append(kBytes).append("{held=\"").append(kind);
+    text.append("\"} ").append(std::to_string(all[i].bytes)).append("\n");
+  }
+  constexpr std::string_view kEnded = "connections_ended_total";
+  AppendMetricHeader(text, kEnded, "counter",
+                     "Connections ended for what they held, by cause.");
+  for (std::size_t i = 0; i < kHeldKinds; ++i) {
+    const std::string held(HeldKindName(static_cast<held_kind>(i)));
+    for (std::size_t j = 0; j < kEndCauses; ++j) {
+      AppendCause(text, kEnded, EndCauseName(static_cast<end_cause>(j)),
+                  ",held=\"" + held + "\"", all[i].ended[j]);
+    }
+  }
+}
+
 constexpr std::array<std::string_view, gateway::kStoreReadCauses>
     kStoreReadCauseNames = {"listing", "catch_up", "watch", "probe"};
 
@@ -258,6 +323,7 @@
   }
   AppendSends(text, from.core.sends);
   AppendExclusions(text, from.exclusions);
+  AppendHeld(text, from);
   AppendStoreCalls(text, from.store_calls);
   AppendStoreFailures(text, from.store_failures);
   AppendAnswerLatencies(text, from.answers);
--- a/packages/edge/edge_metrics.h
+++ b/packages/edge/edge_metrics.h
@@ -23,6 +23,7 @@
   std::uint64_t open_exchanges = 0;  ///< Client requests not answered yet.
   std::uint64_t open_calls = 0;      ///< Requests to leafs in flight.
   std::uint64_t known_leafs = 0;     ///< Leafs in the registry.
+  std::uint64_t cold_leafs = 0;      ///< Leafs with a limited rate.
   std::uint64_t version = 0;         ///< Version of the configuration in force.
   std::uint64_t evacuated_zones = 0;         ///< Zones whose leafs get nothing.
   gateway::exclusion_counts exclusions{};    ///< Candidates that were excluded.
@@ -37,6 +38,7 @@
   duration items_age{};  ///< Since the store last confirmed the items.
   std::uint64_t log_lines_dropped = 0;  ///< Log lines that were not written.
   std::uint64_t handler_failures = 0;   ///< Handlers that threw.
+  std::uint64_t differing_leafs = 0;    ///< Of unusual performance.
   bool ready = false;                   ///< This host accepts clients.
 };
 
--- a/packages/edge/edge_process.cpp
+++ b/packages/edge/edge_process.cpp
@@ -106,6 +106,7 @@
   settings.here = {from.zone, from.region, from.regions};
   settings.repeats = {from.repeat_ratio, from.repeat_slack, from.repeat_window};
   settings.leafs.drain_time = from.leaf_drain;
+  settings.cold = {from.cold_excess, from.cold_slack, from.stop_grace};
   return settings;
 }
 
@@ -149,7 +150,8 @@
       stop_timer(io),
       fleet({settings.zone, settings.region, settings.regions},
             settings.peer_address, kEntrySettings),
-      load(MakeLoadSettings(settings)) {}
+      load(MakeLoadSettings(settings)),
+      receivers(settings.peer_address, settings.region, kEntrySettings) {}
 
 /** Reduces an event and executes its effects. Events that the effects cause
  *  are queued and reduced in turn, so that the reducer is never reentered. */
@@ -263,6 +265,7 @@
   }
   Reduce(gateway::config_event{std::move(config)});
   client_server.SetLimits(core.Limits());
+  SetMemoryBounds();
 }
 
 /** The key alone says which zone is evacuated, whatever the value is. */
@@ -392,6 +395,7 @@
   relay.Sweep(Now());
   CheckClock();
   CheckRevisionLag();
+  ReportFigures();
   peers.SetBusy(load.Update(ProcessorTime(), Now()));
 }
 
@@ -459,7 +463,9 @@
   const decision_input inputs[] = {{"zone", self.settings.zone},
                                    {"address", self.settings.client_address}};
   self.log.WriteEvent("started", inputs);
+  self.StartMemoryBounds();
   self.WaitForSignal();
+  self.ReceiveFigures();
   self.peers.Start([&self] { self.OnMembersChanged(); });
   self.OnMembers();
   self.WatchSettings();
--- a/packages/edge/edge_state.h
+++ b/packages/edge/edge_state.h
@@ -27,6 +27,7 @@
 #include "gateway/hosts/fleet_view.h"
 #include "gateway/hosts/load_signal.h"
 #include "gateway/hosts/stop_timing.h"
+#include "gateway/leafs/performance_report.h"
 #include "gateway/store/lag_detector.h"
 
 namespace corianderrail::edge {
@@ -61,6 +62,7 @@
     leafs.Withdraw(effect.call);
   }
   void Execute(gateway::answer_effect& effect);
+  void Execute(gateway::send_figures_effect& effect);
   void Execute(gateway::log_effect& effect) { log.Write(effect, Now()); }
 
   http_handler ClientHandler();
@@ -68,7 +70,11 @@
   http_handler ReadyHandler();
   http_handler LookupHandler();
   http_handler MetricsHandler();
+  http_reply ExplainPlacement(const http_request& request);
   store_link_settings StoreLinkSettings();
+  void StartMemoryBounds();
+  void SetMemoryBounds();
+  void OnConnectionEnd(const connection_end& end);
   void OnSource(const source_change& change);
   void OnStoreUpdate(const gateway::store_update& update);
   void OnConfig(const gateway::store_item& item);
@@ -85,6 +91,8 @@
   void ReloadSettings();
   void ApplySettings(const edge_settings& fresh);
   void Sweep();
+  void ReceiveFigures();
+  void ReportFigures();
   void ScheduleWake();
   void CheckRevisionLag();
   void CheckClock();
@@ -123,11 +131,14 @@
   bool members_pending = false;  ///< members_timer runs.
   gateway::fleet_view fleet;
   gateway::load_signal load;
+  gateway::figure_receivers receivers;  ///< Of figures about leafs.
+  time_point reported{};                ///< Last report of figures.
   gateway::lag_detector revision_lag;
   gateway::clock_gap gap{kSweepPeriod};
   time_point started = Now();
-  bool starting = true;  ///< In the startup period.
-  bool ready = false;    ///< Result of the readiness check.
+  time_point placement_explained{};  ///< When one was explained last.
+  bool starting = true;              ///< In the startup period.
+  bool ready = false;                ///< Result of the readiness check.
   bool stopping = false;
   gateway::stop_step step = gateway::stop_step::serve;  ///< While stopping.
   gateway::stop_progress stop;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -21,6 +21,8 @@
 #include "gateway/leafs/evacuation.h"
 #include "gateway/leafs/leaf_directory.h"
 #include "gateway/leafs/leaf_selector.h"
+#include "gateway/leafs/performance_report.h"
+#include "gateway/placement_report.h"
 #include "gateway/routing/route_stats.h"
 #include "gateway/routing/route_table.h"
 
@@ -30,7 +32,11 @@
 struct gateway_settings {
   location here;            ///< Zone and region of this host.
   repeat_settings repeats;  ///< Ratio, window, and slack of the whole fleet.
+  /** Parts of clients that return after a refusal go before others of their
+   *  rank. Off, because it lowers the goodput; see docs/design/admission.md. */
+  bool returned_first = false;
   leaf_directory_settings leafs;  ///< Timing of leaving leafs.
+  cold_settings cold;             ///< Bounds of requests to cold leafs.
   duration client_network_time =
       std::chrono::milliseconds(14);  ///< Part of the objective for the network
                                       ///< if the time of a client is unknown.
@@ -50,6 +56,9 @@
   /** Handles one event and appends the resulting effects. */
   void Reduce(event input, time_point now, effect_list& effects);
 
+  /** An evacuation of a zone ended: its leafs count as cold from now on. */
+  void OnEvacuationEnd(std::string_view zone, time_point now);
+
   /** Time at which the caller must pass the next wake_event. */
   time_point NextWake() const;
 
@@ -65,6 +74,9 @@
 
   /** Home regions of the routes with a host name; empty without any. */
   const region_set& HomeRegions(std::string_view host) const;
+  /** Where a request would go now, and why. Sends and changes nothing. */
+  placement_report ExplainPlacement(const placement_request& request,
+                                    time_point now) const;
 
   const gateway_counters& Counters() const { return counters_; }
   const answer_stats& Answers() const { return answers_; }
@@ -73,6 +85,8 @@
   std::size_t Leafs() const { return directory_.Size(); }
   const evacuation& Evacuations() const { return evacuations_; }
   const exclusion_counts& Exclusions() const { return selector_.Exclusions(); }
+  std::size_t ColdLeafs() const { return cold_leafs_; }
+  std::size_t DifferingLeafs() const { return report_.Differing(); }
 
  private:
   struct part;
@@ -103,11 +117,14 @@
   void On(evacuation_event& input, time_point now);
   void On(stop_event& input, time_point now);
   void On(wake_event& input, time_point now);
+  void On(leaf_figures_event& input, time_point now);
+  void On(report_event& input, time_point now);
   void OnTimer(const timer& due, time_point now);
   void RecordAnswer(leaf_state& leaf, const open_request& call, leaf_call id,
                     const leaf_answer& answer, time_point now);
   bool CheckLeafs(time_point now);
   void CheckSoon(time_point now);
+  void CheckCold(leaf_state& leaf, time_point now);
   void OnStatedLeaving(leaf_state& leaf, time_point now);
   void LimitSending(const leaf_state& leaf);
   void LogLimit(const leaf_state& leaf, time_point now);
@@ -123,19 +140,22 @@
   void Place(exchange& pending, std::size_t index, send_cause cause,
              time_point now);
   void Hedge(exchange& pending, std::size_t index, time_point now);
+  static leaf_query QueryFor(const exchange& pending, const part& piece);
   void CollectCandidates(const exchange& pending, const part& piece,
                          time_point now);
   void Send(exchange& pending, std::size_t index, std::size_t candidate,
             send_cause cause, time_point now);
-  static waiting_part QueuePosition(const exchange& pending, std::size_t index);
+  waiting_part QueuePosition(const exchange& pending, std::size_t index) const;
   bool QueuePart(exchange& pending, std::size_t index, time_point now);
-  request_estimate EstimateWait(const exchange& pending, time_point now);
+  queue_estimate EstimatePart(const exchange& pending, std::size_t index,
+                              time_point now) const;
+  request_estimate EstimateWait(const exchange& pending, time_point now) const;
   void DispatchWaiting(service_state& service, time_point now);
   void DispatchPart(const waiting_part& position, time_point now);
   void Dequeue(exchange& pending, std::size_t index);
   void MarkWaitingLate(exchange& pending);
   bool MayKeepIdle(const service_state& service) const;
-  void CancelCalls(exchange& pending);
+  void CancelCalls(exchange& pending, time_point now);
   bool SpendRepeat(const exchange& pending, part& piece, repeat_reason reason,
                    time_point now);
   void LogRepeat(const exchange& pending, const part& piece,
@@ -148,6 +168,12 @@
   void WithdrawForbidden(const exchange& pending, leaf_call call);
   void RecheckWaiting(std::vector<std::uint64_t> exchanges, time_point now);
   void DispatchAllWaiting(time_point now);
+  // gateway_explain.cpp
+  void AddExplainedParts(exchange& pending) const;
+  refusal_cause ExplainRefusal(const exchange& pending,
+                               placement_report& report, time_point now) const;
+  placement_part ExplainPart(const exchange& pending, std::size_t index,
+                             time_point now) const;
 
   // gateway_answers.cpp
   void Advance(std::uint64_t id, time_point now);
@@ -156,6 +182,8 @@
   duration TimeOutsideHost(const exchange& pending);
   void Begin(exchange& pending, time_point now);
   bool StartParts(exchange& pending, time_point now);
+  bool Admit(exchange& pending, time_point now);
+  bool YieldsToRank(const exchange& pending, time_point now) const;
   bool EnoughLeafs(const exchange& pending, time_point now) const;
   void FinishPlain(exchange& pending, time_point now);
   void FinishGather(exchange& pending, time_point now);
@@ -164,6 +192,7 @@
   void HandleFailure(exchange& pending, std::size_t index, bool ran,
                      time_point now);
   static void DropNeedlessRecords(const exchange& pending, part& piece);
+  static std::string DecidingService(const exchange& pending);
   static std::string MissingParts(const exchange& pending);
   void LogAbandoned(const exchange& pending, time_point now);
   void Answer(exchange& pending, client_answer answer, time_point now);
@@ -176,9 +205,10 @@
   std::unique_ptr<route_table> routes_;
   leaf_directory directory_;
   evacuation evacuations_;
-  leaf_selector selector_;  ///< Reads directory_ and evacuations_.
-  fleet_event fleet_;       ///< Latest size of the fleet.
-  double slack_share_ = 0;  ///< Repeats of this host per window.
+  leaf_selector selector_;      ///< Reads directory_ and evacuations_.
+  fleet_event fleet_;           ///< Latest size of the fleet.
+  double slack_share_ = 0;      ///< Repeats of this host per window.
+  std::size_t cold_leafs_ = 0;  ///< At the last check.
   bool registry_complete_ = false;
   bool startup_delayed_ = false;   ///< Requests do not wait for CanServe().
   bool stopping_ = false;          ///< New requests are refused.
@@ -198,10 +228,11 @@
   retry_schedule retry_schedule_;
   loop_lag lag_;                    ///< How late requests are read.
   connection_warmup warmup_;        ///< Leafs to connect to in advance.
+  performance_report report_;       ///< Figures for other hosts.
   effect_list* effects_ = nullptr;  ///< Set while Reduce() runs.
 
   // Reused between calls to avoid allocations.
-  std::vector<queue_estimate> queue_estimates_;
+  mutable std::vector<queue_estimate> queue_estimates_;
 };
 
 }  // namespace corianderrail::gateway
--- a/packages/gateway/gateway_calls.cpp
+++ b/packages/gateway/gateway_calls.cpp
@@ -53,9 +53,7 @@
          LeafHoldsIdle(service.max_connections, fleet_.hosts);
 }
 
-/** Collects the leafs that may get a part. */
-void gateway::CollectCandidates(const exchange& pending, const part& piece,
-                                time_point now) {
+leaf_query gateway::QueryFor(const exchange& pending, const part& piece) {
   leaf_query query;
   query.service = piece.service->name;
   query.matched = pending.matched;
@@ -67,7 +65,14 @@
   const bool urgent =
       piece.service->queue.HoldsOnlyLessUrgent(pending.matched->rank);
   query.reserve = urgent ? kUrgentReserve : 0;
-  selector_.Collect(query, now);
+  return query;
+}
+
+/** Collects the leafs that may get a part. */
+void gateway::CollectCandidates(const exchange& pending, const part& piece,
+                                time_point now) {
+  selector_.Collect(QueryFor(pending, piece), now);
+  counters_.permit_skips += selector_.PermitSkips();
 }
 
 void gateway::Place(exchange& pending, std::size_t index, send_cause cause,
@@ -78,7 +83,14 @@
     return;
   }
   CollectCandidates(pending, piece, now);
-  const leaf_choice choice = selector_.Choose(pending.objective_at - now);
+  leaf_choice choice = selector_.Choose(pending.objective_at - now);
+  // A late part only uses room that no other part needs.
+  const bool yields =
+      now >= pending.objective_at && !piece.service->queue.HasSpareRoom(now);
+  if (yields && choice.outcome == choice_outcome::chosen) {
+    choice.outcome = choice_outcome::full;
+    ++counters_.late_parts_held;
+  }
   if (choice.outcome == choice_outcome::chosen) {
     Send(pending, index, choice.index, cause, now);
     return;
@@ -100,6 +112,8 @@
   piece.state = part::phase::open;
   ++piece.open;
   ++counters_.leaf_requests;
+  if (chosen.permits) ++counters_.cold_requests;
+  counters_.shared_choices += chosen.shared ? 1 : 0;
   ++counters_.sends[static_cast<std::size_t>(cause)]
                    [static_cast<std::size_t>(selector_.DistanceOf(leaf))];
 
@@ -196,9 +210,10 @@
 }
 
 waiting_part gateway::QueuePosition(const exchange& pending,
-                                    std::size_t index) {
+                                    std::size_t index) const {
   return {pending.parts[index].queued_late, pending.matched->rank,
-          pending.arrival, index};
+          !(settings_.returned_first && pending.returned), pending.arrival,
+          index};
 }
 
 /**
@@ -210,31 +225,51 @@
   part& piece = pending.parts[index];
   piece.queued_late = now >= pending.objective_at;
   const waiting_part position = QueuePosition(pending, index);
-  double parallel = 0;
   duration usual = duration::max();
   for (const leaf_candidate& candidate : selector_.Candidates()) {
     if (candidate.eligibility == leaf_eligibility::unusable) continue;
-    parallel += std::min(candidate.limit, candidate.slots);
     usual = std::min(usual, candidate.expected);
   }
+  if (FirstPermit(selector_.Candidates()) + usual > pending.deadline)
+    return false;
+  const double parallel = ParallelRequests(selector_.Candidates());
   part_queue& queue = piece.service->queue;
   if (now + queue.ExpectedWait(position, now) + usual > pending.deadline)
     return false;
-  const double interval =
-      static_cast<double>(usual.count()) / std::max(parallel, 1.0);
+  const double interval = static_cast<double>(usual.count()) / parallel;
   queue.Add(position, duration(static_cast<duration::rep>(interval)), now);
   piece.state = part::phase::waiting;
   ++counters_.queued;
   return true;
 }
 
-/** Expected wait of a request that arrives now. */
+/** Estimate of one part, from the leafs that may get it and the waiting parts.
+ */
+queue_estimate gateway::EstimatePart(const exchange& pending, std::size_t index,
+                                     time_point now) const {
+  const part& piece = pending.parts[index];
+  queue_estimate estimate =
+      piece.service->queue.Estimate(QueuePosition(pending, index), now);
+  estimate.part = index;
+  const leaf_estimate leaf = selector_.Estimate(
+      QueryFor(pending, piece), pending.objective_at - now, now);
+  if (leaf.has_capacity) estimate.wait = {};
+  estimate.answer = leaf.latency;
+  return estimate;
+}
+
+/** Estimate of a request that arrives now. Nothing is estimated while no part
+ *  waits or waited recently: leafs have room then. */
 request_estimate gateway::EstimateWait(const exchange& pending,
-                                       time_point now) {
+                                       time_point now) const {
+  const bool contended = std::any_of(
+      pending.parts.begin(), pending.parts.end(), [&](const part& piece) {
+        return !piece.service->queue.HasSpareRoom(now);
+      });
+  if (!contended) return {};
   queue_estimates_.clear();
   for (std::size_t i = 0; i < pending.parts.size(); ++i) {
-    queue_estimates_.push_back(pending.parts[i].service->queue.Estimate(
-        QueuePosition(pending, i), now));
+    queue_estimates_.push_back(EstimatePart(pending, i, now));
   }
   const auto shards = static_cast<double>(pending.parts.size());
   const double spare = pending.matched->Gathers()
@@ -287,12 +322,13 @@
   if (!waits) Advance(position.exchange, now);
 }
 
-void gateway::CancelCalls(exchange& pending) {
+void gateway::CancelCalls(exchange& pending, time_point now) {
   for (const leaf_call call : pending.calls) {
     const auto found = calls_.find(static_cast<std::uint64_t>(call));
     if (found == calls_.end()) continue;
     if (leaf_state* leaf = directory_.Find(found->second.leaf)) {
       leaf->monitor.DropCall(call);
+      selector_.Cold().OnEnded(*leaf, now);
     }
     calls_.erase(found);
     effects_->push_back(cancel_leaf_effect{call});
--- a/packages/gateway/gateway_type.h
+++ b/packages/gateway/gateway_type.h
@@ -10,9 +10,12 @@
 #include <variant>
 #include <vector>
 
+#include "core/id_type.h"
+#include "core/peer_message_type.h"
 #include "core/time_type.h"
 #include "gateway/leafs/connection_share.h"
 #include "gateway/leafs/evacuation.h"
+#include "gateway/leafs/permit_order.h"
 #include "gateway/leafs/registry_type.h"
 #include "gateway/message_type.h"
 #include "gateway/routing/routing_type.h"
@@ -77,8 +80,18 @@
   bool is_entry = true;       ///< Whether this host takes clients.
   fleet_size own_region;      ///< Fleet seen by a leaf in this host's region.
   fleet_size other_regions;   ///< Fleet seen by a leaf elsewhere, on average.
+  std::vector<zone_host> zone_hosts = {};  ///< Hosts of this host's zone.
 };
 
+/** Another host sent figures about leafs. */
+struct leaf_figures_event {
+  host_id from{};                    ///< Sender, by its signature.
+  std::vector<leaf_figure> figures;  ///< At most kMaxLeafFigures.
+};
+
+/** Figures for other hosts are due. */
+struct report_event {};
+
 /** Reloadable settings changed. */
 struct settings_event {
   double repeat_ratio = 0;  ///< Repeats allowed per first request.
@@ -103,7 +116,8 @@
     std::variant<request_event, client_disconnected_event, leaf_answer_event,
                  leaf_failure_event, leaf_connected_event, config_event,
                  registry_event, startup_event, fleet_event, settings_event,
-                 leaving_event, evacuation_event, stop_event, wake_event>;
+                 leaving_event, evacuation_event, stop_event, wake_event,
+                 leaf_figures_event, report_event>;
 
 /** Sends a request to a leaf. */
 struct send_leaf_effect {
@@ -148,6 +162,11 @@
   leaf_call call{};  ///< From send_leaf_effect.
 };
 
+/** Sends figures about leafs to some other hosts. */
+struct send_figures_effect {
+  std::vector<leaf_figure> figures;  ///< Not empty.
+};
+
 /** Answers a client. */
 struct answer_effect {
   exchange_id exchange{};  ///< From request_event.
@@ -156,23 +175,27 @@
 
 /** Kinds of decisions that are logged. */
 enum class decision : std::uint8_t {
-  refused,          ///< This host answered in place of a leaf.
-  partial,          ///< A gathered answer has missing parts.
-  late,             ///< An answer missed the latency objective.
-  abandoned,        ///< The client disconnected before its answer.
-  repeated,         ///< A request was sent to another leaf.
-  repeat_denied,    ///< The repeat budget was exhausted.
-  leaf_suspected,   ///< A leaf was ejected or replaced.
-  leaf_restored,    ///< An ejected leaf was readmitted.
-  leaf_limited,     ///< A leaf has a queue and got a concurrency limit.
-  leaf_listed,      ///< The registry added or changed a leaf.
-  leaf_delisted,    ///< The registry removed a leaf, or it is draining.
-  leaf_leaving,     ///< A leaf stated in an answer that it will stop.
-  config_in_force,  ///< A newer configuration became active.
-  zone_evacuated,   ///< The evacuation of a zone began.
-  zone_restored,    ///< The evacuation of a zone ended.
-};
-inline constexpr std::size_t kDecisions = 15;
+  refused,           ///< This host answered in place of a leaf.
+  partial,           ///< A gathered answer has missing parts.
+  late,              ///< An answer missed the latency objective.
+  abandoned,         ///< The client disconnected before its answer.
+  repeated,          ///< A request was sent to another leaf.
+  repeat_denied,     ///< The repeat budget was exhausted.
+  leaf_suspected,    ///< A leaf was ejected or replaced.
+  leaf_restored,     ///< An ejected leaf was readmitted.
+  leaf_limited,      ///< A leaf has a queue and got a concurrency limit.
+  leaf_listed,       ///< The registry added or changed a leaf.
+  leaf_delisted,     ///< The registry removed a leaf, or it is draining.
+  leaf_leaving,      ///< A leaf stated in an answer that it will stop.
+  leaf_speed,        ///< A leaf differs from the usual, or no longer.
+  config_in_force,   ///< A newer configuration became active.
+  zone_evacuated,    ///< The evacuation of a zone began.
+  zone_restored,     ///< The evacuation of a zone ended.
+  leaf_cold,         ///< The rate of a leaf is limited from now on.
+  leaf_warm,         ///< The rate of a leaf is no longer limited.
+  connection_ended,  ///< A connection held too much or made no progress.
+};
+inline constexpr std::size_t kDecisions = 19;
 
 /** One value that a decision was based on. */
 struct decision_input {
@@ -187,10 +210,10 @@
   std::vector<decision_input> inputs;  ///< Values that led to it.
 };
 
-using effect =
-    std::variant<send_leaf_effect, cancel_leaf_effect, connect_leaf_effect,
-                 disconnect_leaf_effect, stop_sending_effect,
-                 withdraw_call_effect, answer_effect, log_effect>;
+using effect = std::variant<send_leaf_effect, cancel_leaf_effect,
+                            connect_leaf_effect, disconnect_leaf_effect,
+                            stop_sending_effect, withdraw_call_effect,
+                            answer_effect, log_effect, send_figures_effect>;
 using effect_list = std::vector<effect>;
 
 /** Why a request is sent to a leaf. */
@@ -224,7 +247,17 @@
   std::uint64_t withdrawn = 0;      ///< Leaf requests withdrawn before sending.
   std::uint64_t arrived_outside_homes =
       0;  ///< Requests whose home regions do not include this host's.
-  std::uint64_t queued = 0;                    ///< Parts that were queued.
+  std::uint64_t queued = 0;            ///< Parts that were queued.
+  std::uint64_t cold_requests = 0;     ///< Requests sent to cold leafs.
+  std::uint64_t permit_skips = 0;      ///< Choices without a permit for a leaf.
+  std::uint64_t refused_late = 0;      ///< Could not be answered in time.
+  std::uint64_t refused_for_rank = 0;  ///< A more urgent rank was refused.
+  std::uint64_t returned = 0;          ///< Requests of returning clients.
+  std::uint64_t returned_refused = 0;  ///< Of these, refused on arrival.
+  std::uint64_t late_parts_held = 0;   ///< Late parts kept from free leafs.
+  std::uint64_t figures_received = 0;  ///< About leafs, from hosts.
+  std::uint64_t figures_sent = 0;      ///< Once for all receivers.
+  std::uint64_t shared_choices = 0;    ///< Made with such figures.
   std::uint64_t refused[kRefusalCauses] = {};  ///< By refusal_cause.
 };
 
