--- a/tests/soak/placement.py
+++ b/tests/soak/placement.py
@@ -17,6 +17,7 @@
 import time
 
 import soak
+import soak_limits
 
 EVACUATE_SECONDS = 5  # evacuate_ms of the settings.
 ZONE = "a-1"
@@ -25,13 +26,7 @@
 class Host(soak.Host):
     """A host whose settings bound the time to an evacuation."""
 
-    def write_settings(self):
-        path = super().write_settings()
-        with open(path, encoding="utf-8") as file:
-            text = file.read()
-        with open(path, "w", encoding="utf-8") as file:
-            file.write(f"evacuate_ms = {EVACUATE_SECONDS * 1000}\n{text}")
-        return path
+    evacuation_seconds = EVACUATE_SECONDS
 
 
 class Placement(soak.Soak):
@@ -103,9 +98,9 @@
         self.homes = ("b",)
         await self.publish()
         published = time.monotonic()
-        await asyncio.sleep(soak.PROPAGATION_SECONDS + 1)
+        await asyncio.sleep(soak_limits.PROPAGATION_SECONDS + 1)
         last = max(self.runs_in(ZONE, 0)) - published
-        if last > soak.PROPAGATION_SECONDS:
+        if last > soak_limits.PROPAGATION_SECONDS:
             self.fail(f"a request ran outside of its homes {last:.2f} s after "
                       "the ack")
         return last
@@ -114,7 +109,7 @@
         """All is refused at once when no leaf is in the home regions."""
         self.homes = ("c",)
         await self.publish()
-        await asyncio.sleep(soak.PROPAGATION_SECONDS)
+        await asyncio.sleep(soak_limits.PROPAGATION_SECONDS)
         before = collections.Counter(self.counts)
         await asyncio.sleep(1)
         new = self.counts - before
--- a/tests/soak/soak_hosts.py
+++ b/tests/soak/soak_hosts.py
@@ -7,7 +7,8 @@
 import time
 
 import standins
-from soak_limits import IN_TOUCH_SECONDS, PORT_BLOCKS, REGIONS
+from soak_limits import (EVACUATION_SECONDS, IN_TOUCH_SECONDS, PORT_BLOCKS,
+                         REGIONS)
 
 
 class Disturbances:
@@ -35,6 +36,8 @@
 class Host:
     """One host process and its proxy to the store."""
 
+    evacuation_seconds = EVACUATION_SECONDS
+
     def __init__(self, soak, number):
         self.soak = soak
         self.number = number
@@ -65,7 +68,8 @@
                 f'store_address = "127.0.0.1:{self.proxy.port}"\n'
                 f"seeds = {seeds}\n".replace("'", '"') +
                 'shared_key = "soak-of-the-edge-hosts"\n'
-                "repeat_slack = 50\nstop_grace_s = 6\nevacuate_ms = 3000\n[regions]\n" +
+                "repeat_slack = 50\nstop_grace_s = 6\n"
+                f"evacuate_ms = {self.evacuation_seconds * 1000}\n[regions]\n" +
                 "".join(f'"{z}" = "{r}"\n' for z, r in REGIONS.items()))
         return path
 
