--- a/packages/edge/placement_json.cpp
+++ b/packages/edge/placement_json.cpp
@@ -24,25 +24,44 @@
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
+std::string_view Name(gateway::leaf_exclusion exclusion) {
+  constexpr std::string_view kNames[gateway::kLeafExclusions] = {
+      "none", "residency", "evacuation"};
+  return kNames[static_cast<std::size_t>(exclusion)];
+}
+
+std::string Joined(const std::vector<std::string>& names) {
+  std::string all;
+  for (const std::string& name : names) {
+    if (!all.empty()) all += ',';
+    all += name;
+  }
+  return all;
+}
+
 /** Rounded, since further digits do not decide anything. */
 double Rounded(double value) { return std::round(value * 1000) / 1000; }
 
 json LeafJson(const gateway::placement_leaf& leaf) {
   const gateway::leaf_candidate& from = leaf.candidate;
-  return {{"instance", leaf.instance},
-          {"zone", leaf.zone},
-          {"chosen", leaf.chosen},
-          {"eligibility", Name(from.eligibility)},
-          {"near", from.near},
-          {"cold", from.cold},
-          {"open", from.open},
-          {"limit", from.limit},
-          {"slots", from.slots},
-          {"slowness", Rounded(from.slowness)},
-          {"failure_rate", Rounded(from.failure_rate)},
-          {"expected_us", from.expected.count()},
-          {"predicted_us", leaf.predicted.count()},
-          {"cost_us", leaf.cost.count()}};
+  json result = {{"instance", leaf.instance},
+                 {"zone", leaf.zone},
+                 {"chosen", leaf.chosen},
+                 {"eligibility", Name(from.eligibility)},
+                 {"near", from.near},
+                 {"cold", from.cold},
+                 {"open", from.open},
+                 {"limit", from.limit},
+                 {"slots", from.slots},
+                 {"slowness", Rounded(from.slowness)},
+                 {"failure_rate", Rounded(from.failure_rate)},
+                 {"expected_us", from.expected.count()},
+                 {"predicted_us", leaf.predicted.count()},
+                 {"cost_us", leaf.cost.count()},
+                 {"excluded", Name(leaf.exclusion)},
+                 {"shared_figures", from.shared}};
+  if (from.permits) result["permits"] = *from.permits;
+  return result;
 }
 
 json PartJson(const gateway::placement_part& part) {
@@ -62,7 +81,8 @@
           {"gathers", route.gathers},
           {"min_shard_ratio", Rounded(route.min_shard_ratio)},
           {"objective_us", route.objective.count()},
-          {"timeout_us", route.timeout.count()}};
+          {"timeout_us", route.timeout.count()},
+          {"homes", Joined(route.homes)}};
 }
 
 std::string Dump(const json& document) {
@@ -101,7 +121,8 @@
                    {"host", question.request.host},
                    {"path", question.request.path},
                    {"version", static_cast<std::uint64_t>(report.version)},
-                   {"admitted", !refused}};
+                   {"admitted", !refused},
+                   {"evacuated_zones", Joined(report.evacuated_zones)}};
   if (refused) document["refusal"] = RefusalName(report.refusal);
   if (report.matched) {
     document["route"] = RouteJson(*report.matched);
--- a/packages/edge/tests/placement_json_test.cpp
+++ b/packages/edge/tests/placement_json_test.cpp
@@ -37,12 +37,16 @@
   report.version = gateway::config_version{7};
   report.matched = gateway::placement_route{};
   report.matched->name = "r";
+  report.matched->homes = {"a", "b"};
+  report.evacuated_zones = {"a-1"};
   gateway::placement_part part;
   part.service = std::string(40, 's');
   part.outcome = gateway::choice_outcome::full;
   gateway::placement_leaf leaf;
   leaf.instance = "i-\xff" + std::string(20, 'i');
   leaf.candidate.slowness = 2.5;
+  leaf.candidate.permits = 3;
+  leaf.exclusion = gateway::leaf_exclusion::evacuation;
   leaf.candidate.expected = std::chrono::seconds(8);
   part.leafs.assign(gateway::kMaxReportedLeafs, leaf);
   report.parts.assign(gateway::kMaxReportedParts, part);
@@ -53,7 +57,11 @@
   CHECK(read.at("admitted") == true);
   CHECK(read.at("route").at("name") == "r");
   const auto& first = read.at("parts").at(0);
+  CHECK(read.at("route").at("homes") == "a,b");
+  CHECK(read.at("evacuated_zones") == "a-1");
   CHECK(first.at("choice") == "full");
+  CHECK(first.at("leafs").at(0).at("excluded") == "evacuation");
+  CHECK(first.at("leafs").at(0).at("permits") == 3);
   CHECK(first.at("leafs").at(0).at("slowness") == 2.5);
   report.refusal = gateway::refusal_cause::no_leaf;
   const auto refused =
--- a/packages/gateway/gateway_explain.cpp
+++ b/packages/gateway/gateway_explain.cpp
@@ -28,6 +28,7 @@
   result.time_left =
       std::max(matched.objective - network, matched.objective / 2);
   result.timeout = matched.timeout;
+  result.homes = matched.residency;
   return result;
 }
 
@@ -35,9 +36,9 @@
 void AddLeafs(const std::vector<leaf_selector::explained_leaf>& all,
               const leaf_choice& choice, placement_part& into) {
   for (std::size_t i = 0; i < all.size(); ++i) {
-    const auto& [leaf, candidate] = all[i];
+    const auto& [leaf, candidate, exclusion] = all[i];
     into.leafs.push_back(
-        {leaf->record.instance, leaf->record.zone, candidate,
+        {leaf->record.instance, leaf->record.zone, candidate, exclusion,
          PredictLatency(candidate), PlacementCost(candidate),
          choice.outcome == choice_outcome::chosen && choice.index == i});
   }
@@ -57,6 +58,7 @@
                                            time_point now) const {
   placement_report report;
   report.version = Version();
+  report.evacuated_zones = evacuations_.Zones();
   if (stopping_ || !CanServe()) {
     report.refusal =
         stopping_ ? refusal_cause::stopping : refusal_cause::no_configuration;
@@ -132,7 +134,7 @@
   const auto leafs = selector_.Explain(QueryFor(pending, piece), now);
   std::vector<leaf_candidate> candidates;
   candidates.reserve(leafs.size());
-  for (const auto& [leaf, candidate] : leafs) candidates.push_back(candidate);
+  for (const auto& leaf : leafs) candidates.push_back(leaf.candidate);
   const leaf_choice choice = ChooseLeaf(candidates, pending.objective_at - now);
   placement_part result;
   result.service = piece.service->name;
--- a/packages/gateway/leafs/evacuation.cpp
+++ b/packages/gateway/leafs/evacuation.cpp
@@ -39,6 +39,12 @@
   return found == begun_.end() ? kNever : found->second;
 }
 
+std::vector<std::string> evacuation::Zones() const {
+  std::vector<std::string> zones;
+  for (const auto& [zone, since] : begun_) zones.push_back(zone);
+  return zones;
+}
+
 std::optional<time_point> evacuation::EndedAt(std::string_view zone) const {
   const auto found = ended_.find(zone);
   if (found == ended_.end()) return std::nullopt;
--- a/packages/gateway/leafs/evacuation.h
+++ b/packages/gateway/leafs/evacuation.h
@@ -41,6 +41,9 @@
    *  while it lasts, and when none ended within the last hour. */
   std::optional<time_point> EndedAt(std::string_view zone) const;
 
+  /** Evacuated zones, in the order of their names. */
+  std::vector<std::string> Zones() const;
+
   /** Number of evacuated zones. */
   std::size_t Size() const { return begun_.size(); }
 
--- a/packages/gateway/leafs/leaf_choice.h
+++ b/packages/gateway/leafs/leaf_choice.h
@@ -18,6 +18,14 @@
   unusable,     ///< Removed, ejected, replaced, or already asked.
 };
 
+/** Why a leaf may not get a part, whatever its own state is. */
+enum class leaf_exclusion : std::uint8_t {
+  none,
+  residency,   ///< Outside of the home regions.
+  evacuation,  ///< In an evacuated zone.
+};
+inline constexpr std::size_t kLeafExclusions = 3;
+
 /** A leaf that could run a request, with its health and load. */
 struct leaf_candidate {
   leaf_eligibility eligibility = leaf_eligibility::healthy;
--- a/packages/gateway/leafs/leaf_selector.cpp
+++ b/packages/gateway/leafs/leaf_selector.cpp
@@ -207,7 +207,8 @@
     const leaf_query& query, time_point now) const {
   std::vector<explained_leaf> all;
   for (const leaf_state* leaf : directory_.LeafsOf(query.service)) {
-    all.push_back({leaf, CandidateFor(*leaf, query, now)});
+    all.push_back({leaf, CandidateFor(*leaf, query, now),
+                   ExclusionOf(*leaf, *query.homes)});
   }
   return all;
 }
--- a/packages/gateway/leafs/leaf_selector.h
+++ b/packages/gateway/leafs/leaf_selector.h
@@ -34,14 +34,6 @@
   std::uint32_t reserve = 0;  ///< Open requests allowed beyond the limit.
 };
 
-/** Why a leaf may not get a part, whatever its own state is. */
-enum class leaf_exclusion : std::uint8_t {
-  none,
-  residency,   ///< Outside of the home regions.
-  evacuation,  ///< In an evacuated zone.
-};
-inline constexpr std::size_t kLeafExclusions = 3;
-
 /** Number of excluded candidates by leaf_exclusion. */
 using exclusion_counts = std::array<std::uint64_t, kLeafExclusions>;
 
@@ -75,6 +67,7 @@
   struct explained_leaf {
     const leaf_state* leaf = nullptr;  ///< Valid until the next change.
     leaf_candidate candidate;          ///< Its health, speed and limits.
+    leaf_exclusion exclusion{};        ///< Why it may not get the part.
   };
 
   /** The same candidates without replacing those of Collect(). */
--- a/packages/gateway/placement_report.h
+++ b/packages/gateway/placement_report.h
@@ -23,12 +23,13 @@
 
 /** A leaf that could get a part, as the choice sees it. */
 struct placement_leaf {
-  std::string instance;      ///< The leaf.
-  std::string zone;          ///< Its availability zone.
-  leaf_candidate candidate;  ///< Health, speed, limits.
-  duration predicted{};      ///< Latency of one more request.
-  duration cost{};           ///< The same with the expected cost of a failure.
-  bool chosen = false;       ///< It would get the part.
+  std::string instance;        ///< The leaf.
+  std::string zone;            ///< Its availability zone.
+  leaf_candidate candidate;    ///< Health, speed, limits.
+  leaf_exclusion exclusion{};  ///< Why it may not get the part.
+  duration predicted{};        ///< Latency of one more request.
+  duration cost{};      ///< The same with the expected cost of a failure.
+  bool chosen = false;  ///< It would get the part.
 };
 
 /** A shard of a query, or a whole plain request. */
@@ -50,6 +51,7 @@
   duration objective{};  ///< Latency objective.
   duration time_left{};  ///< Of the objective, less the network.
   duration timeout{};
+  region_set homes;  ///< Regions in which it may run; empty for any.
 };
 
 /** The whole reasoning. */
@@ -58,7 +60,8 @@
   /** Why the request would be refused; `none` if it would be sent or queued. */
   refusal_cause refusal = refusal_cause::none;
   std::optional<placement_route> matched;  ///< Empty without a route.
-  duration expected_wait{};                ///< Of the deciding part.
+  std::vector<std::string> evacuated_zones;
+  duration expected_wait{};  ///< Of the deciding part.
   duration usual_latency{};  ///< Compared, with the wait, with `time_left`.
   std::vector<placement_part> parts;
   std::size_t parts_omitted = 0;  ///< Parts beyond the bound.
--- a/packages/gateway/tests/explain_test.cpp
+++ b/packages/gateway/tests/explain_test.cpp
@@ -102,6 +102,19 @@
   CHECK(report.matched->name == "query");
 }
 
+// Guards against a leaf that gets nothing without the reason in the report.
+TEST_CASE_METHOD(gateway_fixture, "Explain_ZoneEvacuated_NamesZoneAndLeafs") {
+  Configure(Config());
+  Register(Leaf("plain", "a-1"));
+  Reduce(evacuation_event{{{"a-1", 9, true}}});
+  const auto report = Core().ExplainPlacement({"h", "/read/x"}, Now());
+  CHECK(report.evacuated_zones == std::vector<std::string>{"a-1"});
+  CHECK(report.refusal == refusal_cause::no_leaf);
+  REQUIRE(report.parts.size() == 1);
+  REQUIRE(report.parts[0].leafs.size() == 1);
+  CHECK(report.parts[0].leafs[0].exclusion == leaf_exclusion::evacuation);
+}
+
 // Guards against a report that grows with the configuration.
 TEST_CASE_METHOD(gateway_fixture, "Explain_ManyShardsAndLeafs_IsBounded") {
   constexpr std::size_t kShards = kMaxReportedParts + 10;
