--- a/packages/gateway/admission/load_shedding.h
+++ b/packages/gateway/admission/load_shedding.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 #include "core/time_type.h"
 
@@ -38,6 +39,19 @@
 bool IsWorthQueueing(const request_estimate& estimate, duration usual_latency,
                      duration time_left);
 
+/** Decision on a request that arrives. */
+enum class admission_outcome : std::uint8_t {
+  admitted,
+  late,  ///< Refused: it cannot be answered in time.
+  rank,  ///< Refused: a more urgent rank was served less often.
+};
+
+/** Name of a refusal in logs; empty for an admitted request. */
+constexpr std::string_view AdmissionName(admission_outcome outcome) {
+  constexpr std::string_view kNames[] = {"", "late", "rank"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
 /** Earliest pause before a refused client may return. */
 inline constexpr duration kMinRetryAfter = std::chrono::milliseconds(50);
 
--- a/packages/gateway/gateway_answers.cpp
+++ b/packages/gateway/gateway_answers.cpp
@@ -260,7 +260,8 @@
   }
   if (admitted) return true;
   ++(in_time ? counters_.refused_for_rank : counters_.refused_late);
-  pending.refused_because = in_time ? "rank" : "late";
+  pending.admission =
+      in_time ? admission_outcome::rank : admission_outcome::late;
   if (pending.returned) ++counters_.returned_refused;
   Refuse(pending, refusal_cause::overloaded,
          retry_schedule_.Next(estimate, now), now);
@@ -487,7 +488,7 @@
        {"wait_us", Micros(pending.estimate.wait)},
        {"finish_us", Micros(pending.estimate.Finish())},
        {"decides", DecidingService(pending)},
-       {"because", std::string(pending.refused_because)},
+       {"because", std::string(AdmissionName(pending.admission))},
        {"returned", pending.returned ? "yes" : "no"},
        {"retry_after_us", Micros(retry_after)},
        {"parts", std::to_string(pending.parts.size())},
--- a/packages/gateway/gateway_state.h
+++ b/packages/gateway/gateway_state.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "gateway/admission/part_queue.h"
@@ -42,7 +41,7 @@
   std::vector<part> parts;
   std::vector<leaf_call> calls;        ///< In flight.
   request_estimate estimate;           ///< At arrival; logged.
-  std::string_view refused_because;    ///< "late", "rank", or empty; logged.
+  admission_outcome admission{};       ///< Decision on arrival; logged.
   bool returned = false;               ///< Its client returns after a refusal.
   bool may_have_run = false;           ///< A leaf may have started to run it.
   std::optional<leaf_answer> failure;  ///< Latest error that may be forwarded.
--- a/packages/gateway/tests/cold_permits_test.cpp
+++ b/packages/gateway/tests/cold_permits_test.cpp
@@ -21,9 +21,9 @@
 constexpr time_point kStart{seconds(50)};
 
 /** Six zones in three regions, with two strong hosts in each zone. */
-class valverde_fixture {
+class six_zones_fixture {
  protected:
-  valverde_fixture() {
+  six_zones_fixture() {
     for (int i = 0; i < 6; ++i) {
       regions_["z" + std::to_string(i)] = "r" + std::to_string(i / 2);
     }
@@ -109,7 +109,7 @@
 
 // Guards against permits that exceed the bound when one host of each zone is
 // cut off and holds what it can hold at most.
-TEST_CASE_METHOD(valverde_fixture, "Plan_AnyBound_KeepsAReserve") {
+TEST_CASE_METHOD(six_zones_fixture, "Plan_AnyBound_KeepsAReserve") {
   const location here{"z0", "r0", regions_};
   for (std::uint32_t bound = 0; bound < 500; ++bound) {
     for (const char* leaf_zone : {"z0", "z3", "unknown"}) {
@@ -132,7 +132,7 @@
 
 // Guards against a zone that comes back and starves because the hosts that get
 // requests hold too few permits for its cold leafs.
-TEST_CASE_METHOD(valverde_fixture, "Zone_ComesBack_GetsHalfOfTheBound") {
+TEST_CASE_METHOD(six_zones_fixture, "Zone_ComesBack_GetsHalfOfTheBound") {
   service_.cold_per_second = GENERATE(2.0, 5.0, 10.0, 40.0, 200.0);
   struct entry_host {
     std::unique_ptr<cold_permits> permits;
--- a/packages/gateway/tests/performance_flood_test.cpp
+++ b/packages/gateway/tests/performance_flood_test.cpp
@@ -94,7 +94,8 @@
 };
 
 /** Twelve shards of three leafs with four slots in three zones, and twelve
- *  hosts; work, objectives and rates of one shard are those of lalibela. */
+ *  hosts; work, objectives and rates of one shard are those of the second
+ * deployment of docs/hard-load.md. */
 class performance_flood_fixture {
  protected:
   static constexpr std::size_t kQuery = 0;
