--- a/packages/gateway/tests/cold_simulation_test.cpp
+++ b/packages/gateway/tests/cold_simulation_test.cpp
@@ -303,7 +303,7 @@
   void RollOut() {
     const bool in_place = Pick(0, 1) == 0;
     const std::size_t size = hosts_.size();
-    const std::size_t count = std::min<std::size_t>(size, 8);
+    const std::size_t count = std::min<std::size_t>(size, 12);
     for (std::size_t i = 0; i < count; ++i) {
       sim_host& host = hosts_[i];
       if (!host.up || host.leaving) continue;
