--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -375,11 +375,22 @@
                          "ReadsPerS": 6000, "RetentionS": 20},
         }
 
+    def write_settings(self):
+        path = os.path.join(self.platform.folder, f"{self.name}.toml")
+        with open(path + ".new", "w", encoding="utf-8") as file:
+            file.write(fill(self.platform.template, self.fields()))
+        os.replace(path + ".new", path)
+        return path
+
+    def settings_changed(self):
+        """Writes the settings of now and tells the process."""
+        self.write_settings()
+        self.platform.record(f"platform changes the settings of {self.name}: SIGHUP")
+        self.process.send_signal(signal.SIGHUP)
+
     async def start(self):
         p = self.platform
-        path = os.path.join(p.folder, f"{self.name}.toml")
-        with open(path, "w", encoding="utf-8") as file:
-            file.write(fill(p.template, self.fields()))
+        path = self.write_settings()
         with open(os.path.join(p.folder, f"{self.name}.log"), "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *shlex.split(p.command), cwd=ROOT, stdout=log, stderr=log,
